--- /dev/null
+++ b/brood/src/connection/mod.rs
@@ -0,0 +1,5 @@
+//! What lives for a connection: a client's session and the pooled connections to instances.
+
+pub mod instance;
+pub mod lines;
+pub mod session;
--- /dev/null
+++ b/brood/src/connection/session.rs
@@ -0,0 +1,145 @@
+//! A client's session: its values, its prepared names, its transaction.
+
+use super::lines::Lines;
+use crate::request::statement::Shape;
+use crate::version::config::Route;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+/// A position in an instance's log; positions of a later term are later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    pub term: u64,
+    pub number: u64,
+}
+
+impl Position {
+    pub fn read(text: &str) -> Option<Position> {
+        let (term, number) = text.split_once('.')?;
+        Some(Position { term: term.parse().ok()?, number: number.parse().ok()? })
+    }
+}
+
+impl std::fmt::Display for Position {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.term, self.number)
+    }
+}
+
+#[derive(Debug)]
+pub enum Tx {
+    None,
+    /// Begun by the client, not yet at an instance.
+    Lazy {
+        read: bool,
+        began: Instant,
+        route: Route,
+    },
+    /// On an instance's connection.
+    Bound {
+        conn: u64,
+        read: bool,
+        began: Instant,
+        route: Route,
+    },
+    /// Failed; only its end is taken.
+    Failed,
+}
+
+impl Tx {
+    pub fn state(&self) -> char {
+        match self {
+            Tx::None => 'I',
+            Tx::Lazy { .. } | Tx::Bound { .. } => 'T',
+            Tx::Failed => 'E',
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum What {
+    Read,
+    Write,
+    Commit,
+}
+
+/// Where a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Not given to any connection.
+    Waiting,
+    /// The connection is being readied; the statement itself has not been sent.
+    Setup(u64),
+    /// Sent at this moment.
+    Sent(u64, Instant),
+}
+
+/// A statement that goes to an instance.
+#[derive(Debug)]
+pub struct Op {
+    pub number: u64,
+    pub id: String,
+    pub text: String,
+    pub what: What,
+    /// For `RUN`: the shape, and what follows the name.
+    pub run: Option<(Shape, String)>,
+    pub route: Route,
+    pub tenant: String,
+    pub arrived: Instant,
+    pub stage: Stage,
+    /// Instances that turned this try away or fell silent.
+    pub tried: Vec<String>,
+    /// Answers that promised it had not run, so far.
+    pub promises: u32,
+    pub lagged: bool,
+}
+
+#[derive(Debug)]
+pub struct Session {
+    pub database: String,
+    pub key: String,
+    /// Set once `CONNECT` was answered.
+    pub open: bool,
+    pub lines: Lines,
+    pub values: BTreeMap<String, String>,
+    pub prepared: HashMap<String, Shape>,
+    pub tx: Tx,
+    pub op: Option<Op>,
+    /// The newest own commit: its service, position, and when it was acknowledged.
+    pub own: Option<(String, Position, Instant)>,
+    /// Since when the transaction rests.
+    pub rests: Option<Instant>,
+    pub turns: u64,
+    /// Statements of the current transaction that were sent to an instance.
+    pub tx_sent: u32,
+}
+
+impl Session {
+    pub fn new() -> Self {
+        Session {
+            database: String::new(),
+            key: String::new(),
+            open: false,
+            lines: Lines::default(),
+            values: BTreeMap::new(),
+            prepared: HashMap::new(),
+            tx: Tx::None,
+            op: None,
+            own: None,
+            rests: None,
+            turns: 0,
+            tx_sent: 0,
+        }
+    }
+
+    /// Nothing asked and nothing open: it may be closed without harm.
+    pub fn at_rest(&self) -> bool {
+        self.op.is_none() && matches!(self.tx, Tx::None) && self.lines.waiting() == 0
+    }
+}
+
+impl Default for Session {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/brood/src/process/field.rs
@@ -0,0 +1,1753 @@
+//! The data plane's state machine: sessions on one side, pooled connections on the other.
+//!
+//! Inputs are bytes, ends and the moment; outputs are what to send, open and close.
+
+use super::dance::{Ask, Dance, Grant, Sight};
+use super::repair::{Fact, Instance, Value};
+use super::settings::Bounds;
+use crate::connection::instance::{Answer, Conn, Expect, Use};
+use crate::connection::lines::Next;
+use crate::connection::session::{Op, Position, Session, Stage, Tx, What};
+use crate::request::statement::{self, Statement, word};
+use crate::request::verdict::{Verdict, is_promise};
+use crate::version::config::{self, Configuration, Kind};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+pub type SessionId = u64;
+pub type ConnId = u64;
+
+#[derive(Debug)]
+pub enum Effect {
+    ToClient(SessionId, String),
+    CloseClient(SessionId),
+    Open(ConnId, SocketAddrV4),
+    ToInstance(ConnId, String),
+    CloseInstance(ConnId),
+    Send(Ipv4Addr, Dance),
+    Note(String),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// The operation's deadline, or the end of its wait for a connection.
+    Op(SessionId, u64),
+    Hold(SessionId, u64),
+    Hedge(SessionId, u64),
+    Rest(SessionId, u64),
+    Conn(ConnId, Instant),
+    Retry(SessionId, u64),
+}
+
+/// Sent first: connections kept free of clients' work on each instance, for the system's own calls.
+const RESERVED: u32 = 4;
+/// Share of the statement's deadline that a request is held without having been sent.
+const HOLD: f64 = 0.45;
+/// A read is tried elsewhere after this share of its aim in silence, but not before `HEDGE_FLOOR`.
+const HEDGE: f64 = 0.7;
+const HEDGE_FLOOR: Duration = Duration::from_millis(90);
+/// Pause before a request that met `BUSY` goes out again.
+const BUSY_PAUSE: Duration = Duration::from_millis(12);
+/// Pause before a request whose connection was lost goes out again.
+const LOST_PAUSE: Duration = Duration::from_millis(5);
+/// Instances that refused or fell silent are passed over for this long.
+const SHUN: Duration = Duration::from_millis(250);
+/// A connection being opened or readied is given up after this long.
+const OPEN_PATIENCE: Duration = Duration::from_millis(700);
+const SETUP_PATIENCE: Duration = Duration::from_millis(400);
+/// An answer given up on is waited for this long before its connection is closed.
+const PARK_PATIENCE: Duration = Duration::from_millis(2500);
+/// An instance with requests outstanding that says nothing for this long is failing.
+const SILENCE: Duration = Duration::from_millis(450);
+/// How often leases are asked for, and sooner when something is wrong.
+const ASK: Duration = Duration::from_millis(400);
+const ASK_SOON: Duration = Duration::from_millis(80);
+/// After a recall, open work on a primary that still answers gets this long.
+const RECALL_GRACE: Duration = Duration::from_millis(250);
+/// Observations of a primary's position are kept this far apart, and this long.
+const OBSERVE_GAP: Duration = Duration::from_millis(20);
+const OBSERVE_KEEP: Duration = Duration::from_secs(6);
+/// Allowance between a request's first byte and its being read here.
+const FRESH_SLACK: Duration = Duration::from_millis(20);
+/// A replica is not tried for a session's own commit younger than this.
+const OWN_LAG: Duration = Duration::from_millis(120);
+/// News older than this makes the daemon call itself not ready.
+const NEWS_OLD: Duration = Duration::from_millis(4000);
+/// How many bytes of statements a session may queue.
+const QUEUE_MAX: usize = 2 << 20;
+
+#[derive(Debug)]
+struct Bee {
+    instance: Instance,
+    address: Option<SocketAddrV4>,
+    conns: Vec<ConnId>,
+    waiting: VecDeque<SessionId>,
+    shunned: Option<Instant>,
+    full: Option<Instant>,
+    heard: Option<Instant>,
+    /// Failed attempts since it was last heard.
+    fails: u32,
+    position: Option<Position>,
+    /// Answer time, smoothed, in ms.
+    pace: f64,
+    drains_since: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    epoch: u64,
+    primary: String,
+    term: u64,
+    closed: bool,
+    /// Epoch and end of the lease held.
+    lease: Option<(u64, Instant)>,
+    recalled: Option<(u64, Instant, Ipv4Addr)>,
+    deposed: bool,
+    observed: VecDeque<(Instant, Position)>,
+    /// Waiting for the lease, or for an observation.
+    held: Vec<SessionId>,
+    asking: Option<ConnId>,
+}
+
+pub struct Field {
+    bounds: Bounds,
+    node: String,
+    zone: String,
+    life: u64,
+    config: Option<Configuration>,
+    sessions: HashMap<SessionId, Session>,
+    conns: HashMap<ConnId, Conn>,
+    bees: BTreeMap<String, Bee>,
+    services: BTreeMap<String, Service>,
+    parts: BTreeMap<String, u32>,
+    next_conn: ConnId,
+    next_op: u64,
+    timers: BinaryHeap<Reverse<(Instant, Timer)>>,
+    usage: BTreeMap<u64, BTreeMap<String, u64>>,
+    window: u64,
+    leader: Option<Ipv4Addr>,
+    news_at: Option<Instant>,
+    ask_due: Instant,
+    nonce: u64,
+    asked: VecDeque<(u64, Instant)>,
+    peak: u32,
+    leaving: Option<Instant>,
+    out: Vec<Effect>,
+    ready_bees: Vec<String>,
+}
+
+impl Field {
+    pub fn new(now: Instant, node: &str, zone: &str, bounds: Bounds, life: u64) -> Self {
+        Field {
+            bounds,
+            node: node.to_owned(),
+            zone: zone.to_owned(),
+            life,
+            config: None,
+            sessions: HashMap::new(),
+            conns: HashMap::new(),
+            bees: BTreeMap::new(),
+            services: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            next_conn: 1,
+            next_op: 1,
+            timers: BinaryHeap::new(),
+            usage: BTreeMap::new(),
+            window: 0,
+            leader: None,
+            news_at: None,
+            ask_due: now,
+            nonce: 0,
+            asked: VecDeque::new(),
+            peak: 0,
+            leaving: None,
+            out: Vec::new(),
+            ready_bees: Vec::new(),
+        }
+    }
+
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    /// Whether new connections are welcome.
+    pub fn ready(&self, now: Instant) -> bool {
+        self.config.is_some()
+            && self.leaving.is_none()
+            && self.news_at.is_some_and(|at| now.duration_since(at) < NEWS_OLD)
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.config.as_ref().map_or(0, |c| c.revision)
+    }
+
+    // ---- news -------------------------------------------------------------------------------
+
+    /// How fresh the tree's news is and who leads.
+    pub fn heard_news(&mut self, now: Instant, age: Option<Duration>, leader: Option<Ipv4Addr>) {
+        if let Some(at) = age.and_then(|a| now.checked_sub(a)) {
+            self.news_at = Some(at);
+        }
+        if leader.is_some() && leader != self.leader {
+            self.leader = leader;
+            self.ask_due = now;
+        }
+    }
+
+    pub fn learn(&mut self, now: Instant, facts: &[Fact]) {
+        for fact in facts {
+            match &fact.value {
+                Value::Config(raw) => self.adopt(raw),
+                Value::Epoch { service, epoch, primary, term, closed } => {
+                    let s = self.services.entry(service.clone()).or_default();
+                    if *epoch > s.epoch {
+                        s.observed.clear();
+                        s.deposed = false;
+                        s.recalled = None;
+                        self.ask_due = now;
+                    }
+                    (s.epoch, s.primary, s.term, s.closed) = (*epoch, primary.clone(), *term, *closed);
+                    let id = primary.clone();
+                    if let Some(bee) = self.bees.get_mut(&id) {
+                        bee.shunned = None;
+                        bee.fails = 0;
+                    }
+                }
+                Value::Drain { id } => self.drain(now, id),
+                Value::Shares(parts) => self.parts = parts.clone(),
+                Value::Instance(instance) => self.learn_instance(now, instance),
+            }
+        }
+        self.release_held(now, None);
+    }
+
+    fn adopt(&mut self, raw: &[u8]) {
+        match config::read(raw) {
+            Ok(document) if document.revision > self.revision() => {
+                self.config = Some(Configuration::new(&document));
+                for name in self.config.iter().flat_map(|c| c.backends.keys()) {
+                    self.services.entry(name.clone()).or_default();
+                }
+            }
+            Ok(_) => {}
+            Err(why) => self.out.push(Effect::Note(format!("a committed configuration can't be read: {why}"))),
+        }
+    }
+
+    fn learn_instance(&mut self, now: Instant, instance: &Instance) {
+        let address = instance.address.parse().ok();
+        let bee = self.bees.entry(instance.id.clone()).or_insert_with(|| Bee {
+            instance: instance.clone(),
+            address,
+            conns: Vec::new(),
+            waiting: VecDeque::new(),
+            shunned: None,
+            full: None,
+            heard: None,
+            fails: 0,
+            position: None,
+            pace: 10.0,
+            drains_since: None,
+        });
+        let moved = bee.address != address;
+        bee.instance = instance.clone();
+        bee.address = address;
+        if moved {
+            bee.shunned = None;
+            for conn in bee.conns.clone() {
+                self.lose_conn(now, conn, true);
+            }
+        }
+        if instance.draining || instance.gone {
+            self.drain(now, &instance.id);
+        } else if let Some(bee) = self.bees.get_mut(&instance.id) {
+            // It says itself that it is ready: an instance that drained does not come back under its id
+            // unless it began anew.
+            bee.drains_since = None;
+        }
+    }
+
+    fn drain(&mut self, now: Instant, id: &str) {
+        let Some(bee) = self.bees.get_mut(id) else { return };
+        bee.drains_since.get_or_insert(now);
+        let gone = bee.instance.gone;
+        let waiting: Vec<SessionId> = bee.waiting.drain(..).collect();
+        let conns = bee.conns.clone();
+        let is_primary = self.is_primary(id);
+        for conn in conns {
+            let idle = self.conns.get(&conn).is_some_and(|c| c.usage == Use::Idle || c.usage == Use::Opening);
+            if gone || (idle && !is_primary) {
+                self.lose_conn(now, conn, true);
+            }
+        }
+        for sid in waiting {
+            self.dispatch(now, sid);
+        }
+        if gone && !is_primary {
+            self.bees.remove(id);
+        }
+    }
+
+    fn is_primary(&self, id: &str) -> bool {
+        self.services.values().any(|s| s.primary == id)
+    }
+
+    // ---- leases -----------------------------------------------------------------------------
+
+    /// The lease's epoch, if primary work may be sent at this moment.
+    fn lease(&self, now: Instant, service: &str) -> Option<u64> {
+        let s = self.services.get(service)?;
+        let (epoch, until) = s.lease?;
+        (epoch == s.epoch && !s.closed && now < until && s.recalled.is_none() && !s.deposed).then_some(epoch)
+    }
+
+    /// Whether work sent under this epoch's lease may still be acknowledged.
+    fn covered(&self, now: Instant, service: &str, epoch: u64) -> bool {
+        self.services.get(service).and_then(|s| s.lease).is_some_and(|(e, until)| e == epoch && now < until)
+    }
+
+    fn ask(&mut self, now: Instant) {
+        self.ask_due = now + ASK;
+        let Some(leader) = self.leader else { return };
+        self.nonce += 1;
+        self.asked.push_back((self.nonce, now));
+        if self.asked.len() > 16 {
+            self.asked.pop_front();
+        }
+        let sights = self.sights(now);
+        let ask = Ask {
+            nonce: self.nonce,
+            node: self.node.clone(),
+            life: self.life,
+            usage: self.usage.clone(),
+            sights,
+            demand: self.peak,
+            leaving: self.leaving.is_some(),
+        };
+        self.peak = 0;
+        self.out.push(Effect::Send(leader, Dance::Ask(ask)));
+    }
+
+    fn sights(&self, now: Instant) -> Vec<Sight> {
+        let mut sights = Vec::new();
+        for (name, s) in &self.services {
+            let Some(bee) = self.bees.get(&s.primary) else { continue };
+            let failing = self.failing(now, bee);
+            if bee.heard.is_none() && !failing && !s.deposed {
+                continue;
+            }
+            sights.push(Sight {
+                service: name.clone(),
+                epoch: s.epoch,
+                failing,
+                deposed: s.deposed,
+                heard: bee.heard.map(|h| now.duration_since(h)),
+            });
+        }
+        sights
+    }
+
+    /// Nothing heard although something was asked.
+    fn failing(&self, now: Instant, bee: &Bee) -> bool {
+        if bee.fails > 0 {
+            return true;
+        }
+        let asked = bee
+            .conns
+            .iter()
+            .filter_map(|c| self.conns.get(c))
+            .filter_map(|c| c.expect.front())
+            .map(|(_, at)| *at)
+            .min();
+        asked.is_some_and(|at| now.duration_since(bee.heard.map_or(at, |h| h.max(at))) > SILENCE)
+    }
+
+    fn ask_soon(&mut self, now: Instant) {
+        self.ask_due = self.ask_due.min(now + ASK_SOON);
+    }
+
+    pub fn granted(&mut self, now: Instant, grant: Grant) {
+        let Some((_, asked)) = self.asked.iter().find(|(n, _)| *n == grant.nonce).copied() else { return };
+        let until = asked + grant.span;
+        for (service, epoch) in grant.leases {
+            let s = self.services.entry(service).or_default();
+            if s.recalled.is_some_and(|(e, ..)| e >= epoch) {
+                continue;
+            }
+            match &mut s.lease {
+                Some((e, u)) if *e == epoch => *u = (*u).max(until),
+                Some((e, _)) if *e > epoch => {}
+                lease => *lease = Some((epoch, until)),
+            }
+        }
+        if let Some(reported) = grant.reported {
+            self.usage.retain(|w, _| *w > reported);
+        }
+        self.release_held(now, None);
+    }
+
+    /// The leader wants the leases of an epoch back: nothing more is sent, and what is under way
+    /// ends soon or is cut.
+    pub fn recalled(&mut self, now: Instant, from: Ipv4Addr, service: &str, epoch: u64) {
+        let s = self.services.entry(service.to_owned()).or_default();
+        if s.lease.is_none_or(|(e, _)| e != epoch) {
+            self.out.push(Effect::Send(from, Dance::Returned { service: service.to_owned(), epoch }));
+            return;
+        }
+        if s.recalled.is_some_and(|(e, ..)| e == epoch) {
+            return;
+        }
+        let primary = s.primary.clone();
+        let failing = self.bees.get(&primary).is_some_and(|b| self.failing(now, b));
+        let until = if failing { now } else { now + RECALL_GRACE };
+        if let Some(s) = self.services.get_mut(service) {
+            s.recalled = Some((epoch, until, from));
+        }
+        self.finish_recalls(now);
+    }
+
+    fn finish_recalls(&mut self, now: Instant) {
+        let names: Vec<String> = self
+            .services
+            .iter()
+            .filter(|(_, s)| {
+                s.recalled.is_some() && s.lease.is_some_and(|(e, _)| s.recalled.is_some_and(|(r, ..)| r == e))
+            })
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in names {
+            let Some((epoch, until, from)) = self.services.get(&name).and_then(|s| s.recalled) else { continue };
+            let under_way: Vec<ConnId> = self.under_lease(&name, epoch);
+            if under_way.is_empty() || now >= until {
+                for conn in under_way {
+                    self.lose_conn(now, conn, true);
+                }
+                if let Some(s) = self.services.get_mut(&name) {
+                    s.lease = None;
+                }
+                self.out.push(Effect::Send(from, Dance::Returned { service: name, epoch }));
+            }
+        }
+    }
+
+    fn under_lease(&self, service: &str, epoch: u64) -> Vec<ConnId> {
+        self.conns
+            .iter()
+            .filter(|(_, c)| c.service == service && c.epoch == Some(epoch) && !matches!(c.usage, Use::Idle))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Leases that ran out: what was sent under them can no longer be acknowledged.
+    fn expire_leases(&mut self, now: Instant) {
+        let out: Vec<(String, u64)> = self
+            .services
+            .iter()
+            .filter_map(|(n, s)| s.lease.filter(|(_, until)| now >= *until).map(|(e, _)| (n.clone(), e)))
+            .collect();
+        for (service, epoch) in out {
+            for conn in self.under_lease(&service, epoch) {
+                self.lose_conn(now, conn, true);
+            }
+            if let Some(s) = self.services.get_mut(&service) {
+                s.lease = None;
+                if let Some((e, _, from)) = s.recalled.filter(|(e, ..)| *e == epoch) {
+                    self.out.push(Effect::Send(from, Dance::Returned { service: service.clone(), epoch: e }));
+                }
+            }
+        }
+    }
+
+    /// Gives another chance to what waited for a lease or an observation.
+    fn release_held(&mut self, now: Instant, only: Option<&str>) {
+        let names: Vec<String> = match only {
+            Some(name) => vec![name.to_owned()],
+            None => self.services.iter().filter(|(_, s)| !s.held.is_empty()).map(|(n, _)| n.clone()).collect(),
+        };
+        for name in names {
+            let held = self.services.get_mut(&name).map(|s| std::mem::take(&mut s.held)).unwrap_or_default();
+            for sid in held {
+                self.dispatch(now, sid);
+            }
+        }
+    }
+
+    // ---- clients ----------------------------------------------------------------------------
+
+    pub fn accept(&mut self, sid: SessionId) {
+        self.sessions.insert(sid, Session::new());
+    }
+
+    pub fn client_bytes(&mut self, now: Instant, sid: SessionId, bytes: &[u8]) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        session.lines.push(bytes);
+        if session.lines.waiting() > QUEUE_MAX {
+            self.out.push(Effect::ToClient(sid, "ERROR TOOBIG too much at once\r\n".into()));
+            self.drop_session(now, sid, true);
+            return;
+        }
+        self.proceed(now, sid);
+    }
+
+    pub fn client_gone(&mut self, now: Instant, sid: SessionId) {
+        self.drop_session(now, sid, false);
+    }
+
+    fn drop_session(&mut self, now: Instant, sid: SessionId, close: bool) {
+        let Some(session) = self.sessions.remove(&sid) else { return };
+        if close {
+            self.out.push(Effect::CloseClient(sid));
+        }
+        match (session.op.map(|op| op.stage), session.tx) {
+            (Some(Stage::Setup(conn) | Stage::Sent(conn, _)), _) => self.park(now, conn),
+            (_, Tx::Bound { conn, .. }) => self.roll_back(now, conn),
+            _ => {}
+        }
+    }
+
+    /// Takes the session's next lines until one has to wait.
+    fn proceed(&mut self, now: Instant, sid: SessionId) {
+        loop {
+            let Some(session) = self.sessions.get_mut(&sid) else { return };
+            if session.op.is_some() {
+                return;
+            }
+            match session.lines.next_line() {
+                Next::Partial => break,
+                Next::TooBig => {
+                    self.out.push(Effect::ToClient(sid, "ERROR TOOBIG a message is 1 MiB at most\r\n".into()));
+                    self.drop_session(now, sid, true);
+                    return;
+                }
+                Next::Garbage => {
+                    self.out.push(Effect::ToClient(sid, "ERROR MALFORMED not a line of the wire\r\n".into()));
+                    self.drop_session(now, sid, true);
+                    return;
+                }
+                Next::Line(line) => self.line(now, sid, &line),
+            }
+        }
+        if self.leaving.is_some() {
+            self.close_if_at_rest(now, sid);
+        }
+    }
+
+    fn close_if_at_rest(&mut self, now: Instant, sid: SessionId) {
+        if self.sessions.get(&sid).is_some_and(|s| s.open && s.at_rest() && s.turns > 0) {
+            self.drop_session(now, sid, true);
+        }
+    }
+
+    fn line(&mut self, now: Instant, sid: SessionId, line: &str) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let (kind, rest) = word(line);
+        match kind {
+            "BYE" => self.drop_session(now, sid, true),
+            "CONNECT" if !session.open => {
+                let (database, key) = word(rest);
+                let refusal = match &self.config {
+                    None => Some(("BUSY", "no configuration yet")),
+                    Some(config) => config.admit(database, key).err(),
+                };
+                if let Some((code, why)) = refusal {
+                    self.out.push(Effect::ToClient(sid, format!("ERROR {code} {why}\r\n")));
+                    self.drop_session(now, sid, true);
+                    return;
+                }
+                session.database = database.to_owned();
+                session.key = key.to_owned();
+                session.open = true;
+                self.out.push(Effect::ToClient(sid, "READY I -\r\n".into()));
+            }
+            "QUERY" if session.open => {
+                session.turns += 1;
+                session.rests = None;
+                let (id, text) = word(rest);
+                match (id.is_empty(), statement::parse(text)) {
+                    (false, Some(statement)) => self.statement(now, sid, id, text, statement),
+                    _ => self.tell(now, sid, &Verdict::malformed("can't be read"), false),
+                }
+            }
+            _ => {
+                self.out.push(Effect::ToClient(sid, "ERROR MALFORMED not expected here\r\n".into()));
+                self.drop_session(now, sid, true);
+            }
+        }
+    }
+
+    /// Answers a statement that goes no further.
+    fn done(&mut self, now: Instant, sid: SessionId) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let state = session.tx.state();
+        self.out.push(Effect::ToClient(sid, format!("DONE -\r\nREADY {state} -\r\n")));
+        self.rest(now, sid);
+    }
+
+    /// Answers with an error; in a transaction it fails the transaction where `fails` says so.
+    fn tell(&mut self, now: Instant, sid: SessionId, verdict: &Verdict, fails: bool) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        session.op = None;
+        if fails && !matches!(session.tx, Tx::None) {
+            session.tx = Tx::Failed;
+        }
+        let state = session.tx.state();
+        self.out.push(Effect::ToClient(sid, format!("{}READY {state} -\r\n", verdict.line())));
+        self.rest(now, sid);
+    }
+
+    /// Between statements of a transaction the rest begins.
+    fn rest(&mut self, now: Instant, sid: SessionId) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        if matches!(session.tx, Tx::Bound { .. }) {
+            session.rests = Some(now);
+            let after = self.config.as_ref().map_or(Duration::from_secs(3), |c| c.tx_rest);
+            self.timers.push(Reverse((now + after, Timer::Rest(sid, session.turns))));
+        }
+    }
+
+    fn statement(&mut self, now: Instant, sid: SessionId, id: &str, text: &str, statement: Statement) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        if matches!(session.tx, Tx::Failed) {
+            match statement {
+                Statement::Rollback => {
+                    session.tx = Tx::None;
+                    self.done(now, sid);
+                }
+                Statement::Commit => {
+                    session.tx = Tx::None;
+                    self.tell(now, sid, &Verdict::aborted("the transaction had failed and is rolled back"), false);
+                }
+                _ => self.tell(now, sid, &Verdict::malformed("the transaction has failed"), false),
+            }
+            return;
+        }
+        let in_tx = !matches!(session.tx, Tx::None);
+        let (what, run) = match statement {
+            Statement::Set { name, value } => {
+                session.values.insert(name, value);
+                return self.done(now, sid);
+            }
+            Statement::Prepare { name, shape } => {
+                session.prepared.insert(name, shape);
+                return self.done(now, sid);
+            }
+            Statement::Forget { name } => {
+                if session.prepared.remove(&name).is_none() {
+                    let verdict = Verdict::Refused("UNKNOWN", format!("no prepared name {name}"));
+                    return self.tell(now, sid, &verdict, false);
+                }
+                return self.done(now, sid);
+            }
+            Statement::Begin { .. } if in_tx => {
+                return self.tell(now, sid, &Verdict::malformed("already in a transaction"), false);
+            }
+            Statement::Begin { read } => {
+                let Some((route, _)) = self.route(now, sid) else { return };
+                if let Some(session) = self.sessions.get_mut(&sid) {
+                    session.tx = Tx::Lazy { read, began: now, route };
+                    session.tx_sent = 0;
+                }
+                return self.done(now, sid);
+            }
+            Statement::Commit | Statement::Rollback if !in_tx => {
+                return self.tell(now, sid, &Verdict::malformed("no transaction to end"), false);
+            }
+            Statement::Rollback => {
+                if let Tx::Bound { conn, .. } = std::mem::replace(&mut session.tx, Tx::None) {
+                    self.roll_back(now, conn);
+                }
+                return self.done(now, sid);
+            }
+            Statement::Commit => (What::Commit, None),
+            Statement::Read => (What::Read, None),
+            Statement::Write => (What::Write, None),
+            Statement::Run { name, rest } => match session.prepared.get(&name) {
+                None => {
+                    let verdict = Verdict::Refused("UNKNOWN", format!("no prepared name {name}"));
+                    return self.tell(now, sid, &verdict, in_tx);
+                }
+                Some(shape) if shape.write => (What::Write, Some((shape.clone(), rest))),
+                Some(shape) => (What::Read, Some((shape.clone(), rest))),
+            },
+        };
+        let Some((route, tenant)) = self.route(now, sid) else { return };
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let route = match &session.tx {
+            Tx::Lazy { route, .. } | Tx::Bound { route, .. } => route.clone(),
+            _ => route,
+        };
+        let number = self.next_op;
+        self.next_op += 1;
+        let deadline = now + route.deadline;
+        self.timers.push(Reverse((deadline, Timer::Op(sid, number))));
+        session.op = Some(Op {
+            number,
+            id: id.to_owned(),
+            text: text.to_owned(),
+            what,
+            run,
+            tenant,
+            arrived: now,
+            stage: Stage::Waiting,
+            tried: Vec::new(),
+            promises: 0,
+            lagged: false,
+            route,
+        });
+        if let Tx::Bound { conn, .. } = session.tx {
+            self.send_on(now, sid, conn);
+        } else {
+            self.dispatch(now, sid);
+        }
+    }
+
+    /// The route and tenant in force for the session's next transaction; answers the client if it
+    /// has none any more.
+    fn route(&mut self, now: Instant, sid: SessionId) -> Option<(config::Route, String)> {
+        let session = self.sessions.get(&sid)?;
+        let Some(config) = &self.config else { return None };
+        let in_tx = !matches!(session.tx, Tx::None);
+        match config.admit(&session.database, &session.key) {
+            Ok(tenant) => match config.routes.get(&session.database) {
+                Some(route) => return Some((route.clone(), tenant)),
+                None => self.tell(now, sid, &Verdict::Refused("NODB", "no such database".into()), in_tx),
+            },
+            Err((code, why)) => {
+                self.tell(now, sid, &Verdict::Refused(code, why.to_owned()), in_tx);
+                self.drop_session(now, sid, true);
+            }
+        }
+        None
+    }
+
+    // ---- choosing ---------------------------------------------------------------------------
+
+    fn usable(&self, now: Instant, bee: &Bee, primary: bool) -> bool {
+        if bee.instance.gone || bee.address.is_none() || bee.shunned.is_some_and(|until| now < until) {
+            return false;
+        }
+        match bee.drains_since {
+            None => true,
+            // A primary serves until it is replaced, but never up to the bound.
+            Some(since) => primary && now.duration_since(since) < self.bounds.drain().mul_f64(0.7),
+        }
+    }
+
+    /// Finds an instance and a connection for a session's request, or a place to wait.
+    fn dispatch(&mut self, now: Instant, sid: SessionId) {
+        let Some(session) = self.sessions.get(&sid) else { return };
+        let Some(op) = &session.op else { return };
+        if op.stage != Stage::Waiting {
+            return;
+        }
+        let service = op.route.service.clone();
+        let (plain, began) = match &session.tx {
+            Tx::Lazy { read, began, .. } => (!read, *began),
+            _ => (false, op.arrived),
+        };
+        let primary_only =
+            op.route.kind == Kind::Primary || plain || (op.what == What::Write && matches!(session.tx, Tx::None));
+        let write = op.what == What::Write;
+        let mut chosen = None;
+        if !primary_only && !write {
+            match self.needed(session, op, began) {
+                Some(position) => chosen = self.choose_replica(now, session, op, &service, position),
+                None => {
+                    self.observe(now, &service, &op.tenant.clone());
+                    return self.hold(now, sid, &service);
+                }
+            }
+        }
+        let (id, epoch) = match chosen {
+            Some(id) => (id, None),
+            None => {
+                let lease = self.lease(now, &service);
+                let primary = self.services.get(&service).map(|s| s.primary.clone()).unwrap_or_default();
+                let usable = self.bees.get(&primary).is_some_and(|b| self.usable(now, b, true));
+                match lease {
+                    Some(epoch) if usable => (primary, Some(epoch)),
+                    _ => {
+                        return self.hold(now, sid, &service);
+                    }
+                }
+            }
+        };
+        self.seat(now, sid, &id, epoch);
+    }
+
+    /// The position that a read's log must hold: proven, or unknown.
+    fn needed(&self, session: &Session, op: &Op, began: Instant) -> Option<Position> {
+        let s = self.services.get(&op.route.service)?;
+        let oldest = began.checked_sub(op.route.stale)? + FRESH_SLACK;
+        let bound = s.observed.iter().find(|(at, _)| *at >= oldest).map(|(_, p)| *p)?;
+        match &session.own {
+            Some((service, own, _)) if op.route.kind == Kind::OwnWrites && *service == op.route.service => {
+                if own.term >= s.term {
+                    Some(bound.max(*own))
+                } else {
+                    // Of the older term only what the promote kept counts, and every position seen
+                    // in this epoch holds that.
+                    Some(bound)
+                }
+            }
+            _ => Some(bound),
+        }
+    }
+
+    fn choose_replica(
+        &self,
+        now: Instant,
+        session: &Session,
+        op: &Op,
+        service: &str,
+        position: Position,
+    ) -> Option<String> {
+        let primary = self.services.get(service).map(|s| s.primary.as_str()).unwrap_or_default();
+        let young = session.own.as_ref().is_some_and(|(s, p, at)| {
+            s == service && op.route.kind == Kind::OwnWrites && *p == position && now.duration_since(*at) < OWN_LAG
+        });
+        let mut best: Option<(f64, &str)> = None;
+        for (id, bee) in &self.bees {
+            if bee.instance.service != service
+                || id == primary
+                || !self.usable(now, bee, false)
+                || op.tried.contains(id)
+            {
+                continue;
+            }
+            let holds = bee.position.is_some_and(|p| p >= position);
+            if young && !holds {
+                continue;
+            }
+            let busy = bee.conns.iter().filter(|c| self.conns.get(c).is_some_and(|c| c.usage != Use::Idle)).count()
+                + bee.waiting.len();
+            let distance = if bee.instance.zone == self.zone { 0.0 } else { 4.0 };
+            let slots = f64::from(bee.instance.capacity.max(1));
+            let cost = bee.pace * (1.0 + busy as f64 / slots) + distance + if holds { 0.0 } else { 3.0 };
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.to_owned())
+    }
+
+    /// Waits for a lease, an observation or an instance.
+    fn hold(&mut self, now: Instant, sid: SessionId, service: &str) {
+        let Some(op) = self.sessions.get(&sid).and_then(|s| s.op.as_ref()) else { return };
+        let until = op.arrived + op.route.deadline.mul_f64(HOLD);
+        self.timers.push(Reverse((until.max(now), Timer::Hold(sid, op.number))));
+        let s = self.services.entry(service.to_owned()).or_default();
+        if !s.held.contains(&sid) {
+            s.held.push(sid);
+        }
+        if s.lease.is_none() {
+            self.ask_soon(now);
+        }
+    }
+
+    fn retry_later(&mut self, now: Instant, sid: SessionId, pause: Duration) {
+        if let Some(op) = self.sessions.get(&sid).and_then(|s| s.op.as_ref()) {
+            self.timers.push(Reverse((now + pause, Timer::Retry(sid, op.number))));
+        }
+    }
+
+    /// How many connections this daemon may hold to an instance of the service.
+    fn share(&self, service: &str) -> usize {
+        let cap = self.config.as_ref().and_then(|c| c.backends.get(service)).map_or(8, |b| b.max_connections);
+        let whole: u32 = self.parts.values().sum();
+        let mine = self.parts.get(&self.node).copied().unwrap_or(0);
+        let cap = cap.saturating_sub(RESERVED).max(1);
+        if mine == 0 {
+            (cap / (whole + 10).max(1)).max(1) as usize
+        } else {
+            (cap * mine / whole.max(1)).max(1) as usize
+        }
+    }
+
+    /// Takes a connection of the instance for the request, or queues for one.
+    fn seat(&mut self, now: Instant, sid: SessionId, id: &str, epoch: Option<u64>) {
+        let Some(op) = self.sessions.get(&sid).and_then(|s| s.op.as_ref()) else { return };
+        let tenant = op.tenant.clone();
+        let values = self.sessions.get(&sid).map(|s| &s.values);
+        let Some(bee) = self.bees.get(id) else { return };
+        let mut idle = None;
+        for conn in &bee.conns {
+            let Some(c) = self.conns.get(conn) else { continue };
+            if c.usage == Use::Idle && c.tenant == tenant {
+                let same = values == Some(&c.values);
+                if idle.is_none() || same {
+                    idle = Some(*conn);
+                }
+                if same {
+                    break;
+                }
+            }
+        }
+        if let Some(conn) = idle {
+            return self.give(now, sid, conn, epoch);
+        }
+        if let Some(bee) = self.bees.get_mut(id)
+            && !bee.waiting.contains(&sid)
+        {
+            bee.waiting.push_back(sid);
+        }
+        let hold = self
+            .sessions
+            .get(&sid)
+            .and_then(|s| s.op.as_ref())
+            .map(|op| (op.arrived + op.route.deadline.mul_f64(HOLD), op.number));
+        if let Some((until, number)) = hold {
+            self.timers.push(Reverse((until.max(now), Timer::Hold(sid, number))));
+        }
+        self.open_for(now, id, &tenant);
+    }
+
+    /// Opens a connection for a tenant's waiting requests where the share allows, in place of another
+    /// tenant's idle one if need be.
+    fn open_for(&mut self, now: Instant, id: &str, tenant: &str) {
+        let Some(bee) = self.bees.get(id) else { return };
+        let Some(address) = bee.address else { return };
+        if bee.full.is_some_and(|until| now < until) {
+            return;
+        }
+        let opening = bee
+            .conns
+            .iter()
+            .filter(|c| self.conns.get(c).is_some_and(|c| c.usage == Use::Opening && c.tenant == tenant))
+            .count();
+        let wanting = bee
+            .waiting
+            .iter()
+            .filter(|s| self.sessions.get(s).and_then(|s| s.op.as_ref()).is_some_and(|o| o.tenant == tenant))
+            .count();
+        if opening >= wanting {
+            return;
+        }
+        let service = bee.instance.service.clone();
+        if bee.conns.len() >= self.share(&service) {
+            let spare = bee
+                .conns
+                .iter()
+                .filter(|c| self.conns.get(c).is_some_and(|c| c.usage == Use::Idle && c.tenant != tenant))
+                .min_by_key(|c| self.conns.get(c).map(|c| c.since))
+                .copied();
+            match spare {
+                Some(spare) => self.lose_conn(now, spare, true),
+                None => return,
+            }
+        }
+        let conn = self.next_conn;
+        self.next_conn += 1;
+        self.conns.insert(conn, Conn::new(now, id, &service, tenant));
+        if let Some(bee) = self.bees.get_mut(id) {
+            bee.conns.push(conn);
+        }
+        self.out.push(Effect::Open(conn, address));
+        self.out.push(Effect::ToInstance(conn, format!("CONNECT {service} {tenant} {id}\r\n")));
+        self.timers.push(Reverse((now + OPEN_PATIENCE, Timer::Conn(conn, now))));
+    }
+
+    /// Readies a free connection for the session and sends its request.
+    fn give(&mut self, now: Instant, sid: SessionId, conn: ConnId, epoch: Option<u64>) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let Some(op) = &mut session.op else { return };
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        c.usage = Use::Busy(sid);
+        c.epoch = epoch;
+        c.setup_failed = None;
+        let mut texts = c.align(&session.values, op.run.as_ref().map(|(shape, _)| shape));
+        op.stage = Stage::Setup(conn);
+        if let Tx::Lazy { read, began, .. } = &session.tx {
+            let (read, began) = (*read, *began);
+            let wait = if epoch.is_none() { self.services.get(&op.route.service).map(|_| began) } else { None };
+            let begin = if read { "BEGIN READ" } else { "BEGIN" };
+            let position = wait.and_then(|began| {
+                let session = self.sessions.get(&sid)?;
+                self.needed(session, session.op.as_ref()?, began)
+            });
+            texts.push(match position {
+                Some(position) => format!("WAITFOR {position} {begin}"),
+                None => begin.to_owned(),
+            });
+        }
+        self.peak = self.peak.max(self.conns.values().filter(|c| matches!(c.usage, Use::Busy(_))).count() as u32);
+        if texts.is_empty() {
+            return self.send_statement(now, sid, conn);
+        }
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let mut batch = String::new();
+        for text in texts {
+            batch.push_str("QUERY - ");
+            batch.push_str(&text);
+            batch.push_str("\r\n");
+            c.expect.push_back((Expect::Setup, now));
+        }
+        c.since = now;
+        self.out.push(Effect::ToInstance(conn, batch));
+        self.timers.push(Reverse((now + SETUP_PATIENCE, Timer::Conn(conn, now))));
+    }
+
+    /// A further statement of a bound transaction.
+    fn send_on(&mut self, now: Instant, sid: SessionId, conn: ConnId) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        if c.epoch.is_some_and(|epoch| !self.covered(now, &c.service, epoch)) {
+            return self.lose_conn(now, conn, true);
+        }
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let Some(op) = &mut session.op else { return };
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let texts = c.align(&session.values, op.run.as_ref().map(|(shape, _)| shape));
+        op.stage = Stage::Setup(conn);
+        if texts.is_empty() {
+            return self.send_statement(now, sid, conn);
+        }
+        // A reset within a transaction could end it; a session never takes values back, so none
+        // is needed here.
+        let mut batch = String::new();
+        for text in texts {
+            batch.push_str(&format!("QUERY - {text}\r\n"));
+            c.expect.push_back((Expect::Setup, now));
+        }
+        self.out.push(Effect::ToInstance(conn, batch));
+    }
+
+    fn send_statement(&mut self, now: Instant, sid: SessionId, conn: ConnId) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        let epoch = c.epoch;
+        let service = c.service.clone();
+        if epoch.is_some_and(|e| !self.covered(now, &service, e)) {
+            return self.lose_conn(now, conn, true);
+        }
+        let Some(session) = self.sessions.get(&sid) else { return };
+        let Some(op) = &session.op else { return };
+        let mut wait = String::new();
+        if epoch.is_none() && matches!(session.tx, Tx::None) && op.what == What::Read {
+            match self.needed(session, op, op.arrived) {
+                Some(position) => wait = format!("WAITFOR {position} "),
+                None => {
+                    // The proof grew old while it waited.
+                    if let Some(op) = self.sessions.get_mut(&sid).and_then(|s| s.op.as_mut()) {
+                        op.stage = Stage::Waiting;
+                    }
+                    self.free(now, conn);
+                    return self.dispatch(now, sid);
+                }
+            }
+        }
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let Some(op) = &mut session.op else { return };
+        let text = match &op.run {
+            None => op.text.clone(),
+            Some((shape, rest)) => {
+                let name = c.prepared.get(shape).cloned().unwrap_or_default();
+                format!("RUN {name} {rest}")
+            }
+        };
+        c.expect.push_back((Expect::Statement, now));
+        c.since = now;
+        op.stage = Stage::Sent(conn, now);
+        session.tx_sent += 1;
+        self.out.push(Effect::ToInstance(conn, format!("QUERY {} {wait}{text}\r\n", op.id)));
+        // A transaction counts once, with its first statement.
+        if matches!(session.tx, Tx::None) || session.tx_sent == 1 {
+            *self.usage.entry(self.window).or_default().entry(op.tenant.clone()).or_default() += 1;
+        }
+        if op.what == What::Read && !matches!(session.tx, Tx::Bound { .. }) {
+            let patience = op.route.target.mul_f64(HEDGE).max(HEDGE_FLOOR);
+            self.timers.push(Reverse((now + patience, Timer::Hedge(sid, op.number))));
+        }
+    }
+
+    // ---- instances --------------------------------------------------------------------------
+
+    pub fn instance_bytes(&mut self, now: Instant, conn: ConnId, bytes: &[u8]) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        c.push(bytes);
+        if let Some(bee) = self.bees.get_mut(&c.instance) {
+            bee.heard = Some(now);
+            bee.fails = 0;
+        }
+        loop {
+            let Some(c) = self.conns.get_mut(&conn) else { return };
+            match c.answer() {
+                Ok(None) => return,
+                Ok(Some((expect, sent, answer))) => self.answered(now, conn, expect, sent, answer),
+                Err(why) => {
+                    self.out.push(Effect::Note(format!("instance {}: {why}", c.instance)));
+                    self.lose_conn(now, conn, true);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// The connection could not be opened, or has ended.
+    pub fn instance_gone(&mut self, now: Instant, conn: ConnId) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        let (id, busy) = (c.instance.clone(), c.usage != Use::Idle);
+        if let Some(bee) = self.bees.get_mut(&id) {
+            let fails = c.usage == Use::Opening;
+            if fails {
+                bee.fails += 1;
+                bee.shunned = Some(now + SHUN);
+            }
+        }
+        self.lose_conn(now, conn, false);
+        if busy && self.is_primary(&id) {
+            self.ask_soon(now);
+        }
+    }
+
+    fn observe_answer(&mut self, now: Instant, conn: ConnId, sent: Instant, answer: &Answer) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        let Some(position) = answer.position else { return };
+        if let Some(bee) = self.bees.get_mut(&c.instance) {
+            bee.position = Some(position);
+        }
+        let Some(epoch) = c.epoch else { return };
+        let service = c.service.clone();
+        if !self.covered(now, &service, epoch) {
+            return;
+        }
+        let Some(s) = self.services.get_mut(&service) else { return };
+        if s.epoch != epoch || s.observed.back().is_some_and(|(at, _)| sent < *at + OBSERVE_GAP) {
+            return;
+        }
+        s.observed.push_back((sent, position));
+        while s.observed.front().is_some_and(|(at, _)| now.duration_since(*at) > OBSERVE_KEEP) {
+            s.observed.pop_front();
+        }
+        if !s.held.is_empty() {
+            self.release_held(now, Some(&service));
+        }
+    }
+
+    fn answered(&mut self, now: Instant, conn: ConnId, expect: Expect, sent: Instant, answer: Answer) {
+        self.observe_answer(now, conn, sent, &answer);
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        match expect {
+            Expect::Greeting => match &answer.code {
+                None => self.free(now, conn),
+                Some(code) => {
+                    let id = c.instance.clone();
+                    let full = code == "FULL";
+                    if let Some(bee) = self.bees.get_mut(&id) {
+                        if full {
+                            bee.full = Some(now + SHUN);
+                        } else {
+                            bee.shunned = Some(now + SHUN * 4);
+                        }
+                    }
+                    self.lose_conn(now, conn, true);
+                }
+            },
+            Expect::Setup => {
+                if let Some(code) = answer.code {
+                    c.setup_failed.get_or_insert(code);
+                }
+                if c.expect.is_empty() {
+                    self.set_up(now, conn);
+                }
+            }
+            Expect::Statement => match c.usage {
+                Use::Busy(sid) => self.statement_answered(now, sid, conn, sent, answer),
+                _ => self.unpark(now, conn),
+            },
+            Expect::Rollback => {
+                if answer.state == 'I' {
+                    self.free(now, conn);
+                } else {
+                    self.lose_conn(now, conn, true);
+                }
+            }
+            Expect::Status => {
+                let service = c.service.clone();
+                if let Some(s) = self.services.get_mut(&service) {
+                    s.asking = None;
+                }
+                if c.usage == Use::Asking {
+                    self.free(now, conn);
+                }
+            }
+        }
+    }
+
+    fn set_up(&mut self, now: Instant, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Use::Busy(sid) = c.usage else { return self.unpark(now, conn) };
+        let Some(code) = c.setup_failed.take() else {
+            if let Some(session) = self.sessions.get_mut(&sid)
+                && let Tx::Lazy { read, began, route } = &session.tx
+            {
+                session.tx = Tx::Bound { conn, read: *read, began: *began, route: route.clone() };
+            }
+            return self.send_statement(now, sid, conn);
+        };
+        // Nothing of the client's was sent. The connection's values are uncertain now.
+        let (id, in_tx) = (c.instance.clone(), c.state != 'I');
+        let lagging = code == "LAGGING";
+        if lagging && !in_tx {
+            self.free(now, conn);
+        } else {
+            if let Some(c) = self.conns.get_mut(&conn) {
+                c.usage = Use::Parked;
+            }
+            self.lose_conn(now, conn, true);
+        }
+        self.turned_away(now, sid, &id, &code);
+    }
+
+    /// The request met a promise that it has not run: it goes elsewhere, or again, or back.
+    fn turned_away(&mut self, now: Instant, sid: SessionId, id: &str, code: &str) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let bound = match &session.tx {
+            Tx::Bound { read, began, route, .. } => Some((*read, *began, route.clone())),
+            _ => None,
+        };
+        if let Some((read, began, route)) = bound {
+            session.tx = Tx::Lazy { read, began, route };
+        }
+        let Some(op) = &mut session.op else { return };
+        op.stage = Stage::Waiting;
+        op.promises += 1;
+        let service = op.route.service.clone();
+        let late = now >= op.arrived + op.route.deadline.mul_f64(HOLD);
+        if late {
+            return self.tell(now, sid, &Verdict::busy("every instance is busy; come back in 50 ms"), true);
+        }
+        match code {
+            "READONLY" => {
+                if let Some(s) = self.services.get_mut(&service)
+                    && s.primary == id
+                {
+                    s.deposed = true;
+                    self.ask_soon(now);
+                } else {
+                    op.tried.push(id.to_owned());
+                }
+                self.dispatch(now, sid);
+            }
+            "LAGGING" => {
+                op.tried.push(id.to_owned());
+                self.dispatch(now, sid);
+            }
+            _ => {
+                let pause = BUSY_PAUSE * op.promises.min(8);
+                self.retry_later(now, sid, pause);
+            }
+        }
+    }
+
+    fn statement_answered(&mut self, now: Instant, sid: SessionId, conn: ConnId, sent: Instant, answer: Answer) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        let (id, epoch, service) = (c.instance.clone(), c.epoch, c.service.clone());
+        let covered = epoch.is_none_or(|e| self.covered(now, &service, e));
+        if let Some(bee) = self.bees.get_mut(&id) {
+            let took = now.duration_since(sent).as_secs_f64() * 1000.0;
+            bee.pace += (took - bee.pace) * 0.1;
+        }
+        let Some(session) = self.sessions.get(&sid) else { return };
+        let Some(op) = &session.op else { return };
+        if !covered {
+            // Acknowledging it now could hide a newer primary's work.
+            return self.lose_conn(now, conn, true);
+        }
+        let first = op.what != What::Commit && answer.state != 'T' && matches!(session.tx, Tx::Bound { .. });
+        if let Some(code) = &answer.code {
+            let counted = matches!(session.tx, Tx::None) || session.tx_sent == 1;
+            if counted && (is_promise(code) || code == "UNKNOWN") {
+                let tenant = op.tenant.clone();
+                self.uncount(&tenant);
+            }
+            let Some(session) = self.sessions.get(&sid) else { return };
+            let Some(op) = &session.op else { return };
+            let alone = matches!(session.tx, Tx::None) || (first && session.tx_sent == 1);
+            if is_promise(code) && alone && op.what != What::Commit {
+                let code = code.clone();
+                if matches!(session.tx, Tx::None) {
+                    self.free(now, conn);
+                } else {
+                    self.roll_back(now, conn);
+                }
+                return self.turned_away(now, sid, &id, &code);
+            }
+        }
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let Some(op) = session.op.take() else { return };
+        let own_write = match (&session.tx, op.what) {
+            (Tx::None, What::Write) => true,
+            (Tx::Bound { read, .. }, What::Commit) => !read,
+            _ => false,
+        };
+        if own_write
+            && answer.code.is_none()
+            && let Some(position) = answer.position
+        {
+            session.own = Some((service, position, now));
+        }
+        let in_tx = matches!(session.tx, Tx::Bound { .. });
+        let mut release = !in_tx;
+        match answer.state {
+            'I' => {
+                session.tx = Tx::None;
+                release = true;
+            }
+            'E' if in_tx => {
+                session.tx = Tx::Failed;
+                release = true;
+            }
+            _ => {}
+        }
+        self.out.push(Effect::ToClient(sid, answer.raw));
+        if release {
+            if answer.state == 'I' {
+                self.free(now, conn);
+            } else {
+                self.roll_back(now, conn);
+            }
+        }
+        self.rest(now, sid);
+        self.proceed(now, sid);
+    }
+
+    fn uncount(&mut self, tenant: &str) {
+        if let Some(n) = self.usage.get_mut(&self.window).and_then(|w| w.get_mut(tenant)) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
+    /// Its session no longer wants the answer that is to come.
+    fn park(&mut self, now: Instant, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        if c.expect.is_empty() {
+            return self.unpark(now, conn);
+        }
+        c.usage = Use::Parked;
+        c.since = now;
+        self.timers.push(Reverse((now + PARK_PATIENCE, Timer::Conn(conn, now))));
+    }
+
+    fn unpark(&mut self, now: Instant, conn: ConnId) {
+        let Some(c) = self.conns.get(&conn) else { return };
+        if !c.expect.is_empty() {
+            return;
+        }
+        if c.setup_failed.is_some() {
+            return self.lose_conn(now, conn, true);
+        }
+        if c.state == 'I' { self.free(now, conn) } else { self.roll_back(now, conn) }
+    }
+
+    fn roll_back(&mut self, now: Instant, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        if c.state == 'I' && c.expect.is_empty() {
+            return self.free(now, conn);
+        }
+        c.usage = Use::Parked;
+        c.since = now;
+        c.expect.push_back((Expect::Rollback, now));
+        self.out.push(Effect::ToInstance(conn, "QUERY - ROLLBACK\r\n".into()));
+        self.timers.push(Reverse((now + PARK_PATIENCE, Timer::Conn(conn, now))));
+    }
+
+    /// The connection is free: it serves who waits, or rests.
+    fn free(&mut self, now: Instant, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        c.usage = Use::Idle;
+        c.epoch = None;
+        c.since = now;
+        let id = c.instance.clone();
+        if !self.ready_bees.contains(&id) {
+            self.ready_bees.push(id);
+        }
+    }
+
+    /// Gives freed connections to those who wait. Run once after each input, so that no caller is
+    /// in the middle of a change.
+    fn serve_waiting(&mut self, now: Instant) {
+        while let Some(id) = self.ready_bees.pop() {
+            while self.serve_one(now, &id) {}
+            let Some(bee) = self.bees.get(&id) else { continue };
+            let usable = self.usable(now, bee, self.is_primary(&id));
+            if !usable && bee.drains_since.is_some() {
+                for conn in bee.conns.clone() {
+                    if self.conns.get(&conn).is_some_and(|c| c.usage == Use::Idle) {
+                        self.lose_conn(now, conn, true);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Seats the best waiting request for which there is an idle connection; orders are rank, then age.
+    fn serve_one(&mut self, now: Instant, id: &str) -> bool {
+        let Some(bee) = self.bees.get(id) else { return false };
+        if bee.waiting.is_empty() {
+            return false;
+        }
+        let mut best: Option<(u32, Instant, SessionId, ConnId)> = None;
+        let mut starved: Option<(u32, Instant, String)> = None;
+        let mut gone = Vec::new();
+        for sid in &bee.waiting {
+            let Some(op) = self.sessions.get(sid).and_then(|s| s.op.as_ref()).filter(|o| o.stage == Stage::Waiting)
+            else {
+                gone.push(*sid);
+                continue;
+            };
+            let idle = bee
+                .conns
+                .iter()
+                .find(|c| self.conns.get(c).is_some_and(|c| c.usage == Use::Idle && c.tenant == op.tenant));
+            match idle {
+                Some(conn) => {
+                    if best.is_none_or(|(r, a, ..)| (op.route.rank, op.arrived) < (r, a)) {
+                        best = Some((op.route.rank, op.arrived, *sid, *conn));
+                    }
+                }
+                None => {
+                    if starved.as_ref().is_none_or(|(r, a, _)| (op.route.rank, op.arrived) < (*r, *a)) {
+                        starved = Some((op.route.rank, op.arrived, op.tenant.clone()));
+                    }
+                }
+            }
+        }
+        if let Some(bee) = self.bees.get_mut(id)
+            && !gone.is_empty()
+        {
+            bee.waiting.retain(|s| !gone.contains(s));
+        }
+        if let Some((_, _, sid, conn)) = best {
+            if let Some(bee) = self.bees.get_mut(id) {
+                bee.waiting.retain(|s| *s != sid);
+            }
+            let service = self.conns.get(&conn).map(|c| c.service.clone()).unwrap_or_default();
+            if self.is_primary(id) {
+                match self.lease(now, &service) {
+                    Some(epoch) => self.give(now, sid, conn, Some(epoch)),
+                    None => self.hold(now, sid, &service),
+                }
+            } else {
+                // The choice may be old: the instance may have been the primary, or be draining now.
+                let fits = self.bees.get(id).is_some_and(|b| self.usable(now, b, false)) && self.may_read_replica(sid);
+                if fits { self.give(now, sid, conn, None) } else { self.dispatch(now, sid) }
+            }
+            return true;
+        }
+        if let Some((_, _, tenant)) = starved {
+            self.open_for(now, id, &tenant);
+        }
+        false
+    }
+
+    fn may_read_replica(&self, sid: SessionId) -> bool {
+        let Some(session) = self.sessions.get(&sid) else { return false };
+        let Some(op) = &session.op else { return false };
+        let began = match &session.tx {
+            Tx::Lazy { read: false, .. } => return false,
+            Tx::Lazy { began, .. } => *began,
+            _ => op.arrived,
+        };
+        op.route.kind != Kind::Primary && op.what != What::Write && self.needed(session, op, began).is_some()
+    }
+
+    /// Asks the primary for its position, where no statement of clients tells it.
+    fn observe(&mut self, now: Instant, service: &str, tenant: &str) {
+        let Some(epoch) = self.lease(now, service) else { return };
+        let Some(s) = self.services.get(service) else { return };
+        if s.asking.is_some_and(|c| self.conns.contains_key(&c)) {
+            return;
+        }
+        let primary = s.primary.clone();
+        let Some(bee) = self.bees.get(&primary) else { return };
+        let idle = bee.conns.iter().find(|c| self.conns.get(c).is_some_and(|c| c.usage == Use::Idle)).copied();
+        match idle {
+            Some(conn) => {
+                if let Some(c) = self.conns.get_mut(&conn) {
+                    c.usage = Use::Asking;
+                    c.epoch = Some(epoch);
+                    c.since = now;
+                    c.expect.push_back((Expect::Status, now));
+                }
+                if let Some(s) = self.services.get_mut(service) {
+                    s.asking = Some(conn);
+                }
+                self.out.push(Effect::ToInstance(conn, "QUERY - STATUS\r\n".into()));
+                self.timers.push(Reverse((now + SETUP_PATIENCE, Timer::Conn(conn, now))));
+            }
+            None if bee.conns.is_empty() => {
+                let Some(address) = bee.address else { return };
+                let conn = self.next_conn;
+                self.next_conn += 1;
+                self.conns.insert(conn, Conn::new(now, &primary, service, tenant));
+                if let Some(bee) = self.bees.get_mut(&primary) {
+                    bee.conns.push(conn);
+                }
+                self.out.push(Effect::Open(conn, address));
+                self.out.push(Effect::ToInstance(conn, format!("CONNECT {service} {tenant} {primary}\r\n")));
+                self.timers.push(Reverse((now + OPEN_PATIENCE, Timer::Conn(conn, now))));
+            }
+            None => {}
+        }
+    }
+
+    /// Ends a connection and settles whatever was on it.
+    fn lose_conn(&mut self, now: Instant, conn: ConnId, close: bool) {
+        let Some(c) = self.conns.remove(&conn) else { return };
+        if close {
+            self.out.push(Effect::CloseInstance(conn));
+        }
+        if let Some(bee) = self.bees.get_mut(&c.instance) {
+            bee.conns.retain(|x| *x != conn);
+            if !bee.waiting.is_empty() && !self.ready_bees.contains(&c.instance) {
+                self.ready_bees.push(c.instance.clone());
+            }
+        }
+        if let Some(s) = self.services.get_mut(&c.service)
+            && s.asking == Some(conn)
+        {
+            s.asking = None;
+        }
+        let shunned = self.bees.get(&c.instance).is_some_and(|b| b.shunned.is_some_and(|u| now < u));
+        if c.usage == Use::Opening && shunned {
+            let waiting = self.bees.get_mut(&c.instance).map(|b| std::mem::take(&mut b.waiting)).unwrap_or_default();
+            for sid in waiting {
+                self.retry_later(now, sid, LOST_PAUSE);
+            }
+        }
+        let Use::Busy(sid) = c.usage else { return };
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let bound = matches!(session.tx, Tx::Bound { .. });
+        let Some(op) = &mut session.op else {
+            if bound {
+                // The transaction rested here; it is rolled back by the close.
+                session.tx = Tx::Failed;
+            }
+            return;
+        };
+        match op.stage {
+            Stage::Sent(at, _) if at == conn => match op.what {
+                What::Read if !bound => {
+                    op.stage = Stage::Waiting;
+                    op.tried.push(c.instance.clone());
+                    self.retry_later(now, sid, LOST_PAUSE);
+                }
+                What::Commit => self.tell_end(now, sid, &Verdict::unsure("the answer to the commit was lost")),
+                What::Write if !bound => self.tell_end(now, sid, &Verdict::unsure("the answer to the write was lost")),
+                _ => {
+                    self.tell_end(now, sid, &Verdict::aborted("the instance was lost; the transaction is rolled back"))
+                }
+            },
+            Stage::Setup(at) if at == conn => {
+                if bound {
+                    self.tell_end(now, sid, &Verdict::aborted("the instance was lost; the transaction is rolled back"));
+                } else {
+                    op.stage = Stage::Waiting;
+                    self.retry_later(now, sid, LOST_PAUSE);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// An error that ends the transaction too: after a lost commit the session is at `I`.
+    fn tell_end(&mut self, now: Instant, sid: SessionId, verdict: &Verdict) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let commit = session.op.as_ref().is_some_and(|o| o.what == What::Commit);
+        if commit {
+            session.tx = Tx::None;
+        }
+        self.tell(now, sid, verdict, true);
+        self.proceed(now, sid);
+    }
+
+    // ---- time -------------------------------------------------------------------------------
+
+    pub fn next_due(&self) -> Instant {
+        let mut due = self.ask_due;
+        if let Some(Reverse((at, _))) = self.timers.peek() {
+            due = due.min(*at);
+        }
+        for s in self.services.values() {
+            if let Some((_, until)) = s.lease {
+                due = due.min(until);
+            }
+            if let (Some((e, until, _)), Some((l, _))) = (s.recalled, s.lease)
+                && e == l
+            {
+                due = due.min(until);
+            }
+        }
+        due
+    }
+
+    /// `window` is the number of the usage window that the time of day falls into.
+    pub fn tick(&mut self, now: Instant, window: u64) {
+        self.window = window;
+        while let Some(Reverse((at, _))) = self.timers.peek() {
+            if *at > now {
+                break;
+            }
+            if let Some(Reverse((_, timer))) = self.timers.pop() {
+                self.fire(now, timer);
+            }
+        }
+        self.expire_leases(now);
+        self.finish_recalls(now);
+        if now >= self.ask_due {
+            self.ask(now);
+            self.release_held(now, None);
+        }
+        while self.usage.len() > 12 {
+            self.usage.pop_first();
+        }
+        self.settle(now);
+    }
+
+    /// To be called after each input, before the effects are taken.
+    pub fn settle(&mut self, now: Instant) {
+        self.serve_waiting(now);
+    }
+
+    fn op_is(&self, sid: SessionId, number: u64) -> Option<&Op> {
+        self.sessions.get(&sid)?.op.as_ref().filter(|o| o.number == number)
+    }
+
+    fn fire(&mut self, now: Instant, timer: Timer) {
+        match timer {
+            Timer::Retry(sid, number) => {
+                if self.op_is(sid, number).is_some() {
+                    self.dispatch(now, sid);
+                }
+            }
+            Timer::Hold(sid, number) => {
+                if self.op_is(sid, number).is_some_and(|o| o.stage == Stage::Waiting) {
+                    self.forget_waiting(sid);
+                    self.tell(now, sid, &Verdict::busy("no instance could take it; come back in 100 ms"), true);
+                    self.proceed(now, sid);
+                }
+            }
+            Timer::Op(sid, number) => {
+                let Some(op) = self.op_is(sid, number) else { return };
+                let (stage, what) = (op.stage, op.what);
+                let in_tx = self.sessions.get(&sid).is_some_and(|s| matches!(s.tx, Tx::Bound { .. }));
+                let verdict = match (stage, what) {
+                    (Stage::Waiting | Stage::Setup(_), _) if !in_tx => {
+                        Verdict::busy("no instance could take it in time")
+                    }
+                    (_, What::Read) | (_, What::Write) if in_tx => {
+                        Verdict::aborted("the statement took too long; the transaction is rolled back")
+                    }
+                    _ => Verdict::timeout("no answer in time"),
+                };
+                self.forget_waiting(sid);
+                if let Stage::Setup(conn) | Stage::Sent(conn, _) = stage {
+                    if verdict.may_have_run() || !in_tx {
+                        self.park(now, conn);
+                    } else if let Some(c) = self.conns.get_mut(&conn) {
+                        c.usage = Use::Parked;
+                        self.lose_conn(now, conn, true);
+                    }
+                }
+                self.tell_end(now, sid, &verdict);
+            }
+            Timer::Hedge(sid, number) => {
+                let Some(op) = self.op_is(sid, number) else { return };
+                let Stage::Sent(conn, at) = op.stage else { return };
+                let patience = op.route.target.mul_f64(HEDGE).max(HEDGE_FLOOR);
+                if now < at + patience || op.tried.len() >= 3 {
+                    return;
+                }
+                let Some(c) = self.conns.get(&conn) else { return };
+                let id = c.instance.clone();
+                // Only where others heard from it meanwhile, or another instance can take it.
+                self.park(now, conn);
+                if let Some(op) = self.sessions.get_mut(&sid).and_then(|s| s.op.as_mut()) {
+                    op.stage = Stage::Waiting;
+                    op.tried.push(id);
+                }
+                self.dispatch(now, sid);
+            }
+            Timer::Rest(sid, turns) => {
+                let Some(session) = self.sessions.get_mut(&sid) else { return };
+                if session.turns != turns || session.rests.is_none() || session.op.is_some() {
+                    return;
+                }
+                if let Tx::Bound { conn, .. } = session.tx {
+                    session.tx = Tx::Failed;
+                    self.roll_back(now, conn);
+                }
+            }
+            Timer::Conn(conn, since) => {
+                let Some(c) = self.conns.get(&conn) else { return };
+                let stale = c.since == since && !c.expect.is_empty();
+                if !stale {
+                    return;
+                }
+                let id = c.instance.clone();
+                let setting_up = c.expect.iter().any(|(e, _)| matches!(e, Expect::Setup | Expect::Greeting));
+                if setting_up && let Some(bee) = self.bees.get_mut(&id) {
+                    if bee.heard.is_none_or(|h| now.duration_since(h) > SILENCE) {
+                        bee.fails += 1;
+                        bee.shunned = Some(now + SHUN);
+                    }
+                    self.ask_soon(now);
+                }
+                self.lose_conn(now, conn, true);
+            }
+        }
+    }
+
+    fn forget_waiting(&mut self, sid: SessionId) {
+        for bee in self.bees.values_mut() {
+            bee.waiting.retain(|s| *s != sid);
+        }
+        for s in self.services.values_mut() {
+            s.held.retain(|x| *x != sid);
+        }
+    }
+
+    // ---- leaving ----------------------------------------------------------------------------
+
+    /// SIGTERM: no new work; sessions at rest are closed, transactions may end.
+    pub fn leave(&mut self, now: Instant) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.leaving = Some(now);
+        let all: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for sid in all {
+            self.close_if_at_rest(now, sid);
+        }
+        self.ask(now);
+    }
+
+    /// Half the grace is over: open transactions are rolled back.
+    pub fn cut_transactions(&mut self, now: Instant) {
+        let open: Vec<SessionId> = self.sessions.iter().filter(|(_, s)| s.op.is_none()).map(|(id, _)| *id).collect();
+        for sid in open {
+            self.drop_session(now, sid, true);
+        }
+        self.settle(now);
+    }
+
+    /// Whether nothing is left to do.
+    pub fn empty(&self) -> bool {
+        self.sessions.values().all(|s| s.at_rest() || !s.open)
+    }
+
+    pub fn sessions(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// The last words to the leader: what ran here.
+    pub fn farewell(&mut self, now: Instant) {
+        self.ask(now);
+    }
+}
--- /dev/null
+++ b/brood/src/process/raft.rs
@@ -0,0 +1,935 @@
+//! Raft, after "Raft Refloated" (§2–4); `docs/raft.md` tells what was kept and what was changed.
+//!
+//! The caller performs the outputs in order, with one rule that carries the safety: whatever follows
+//! an [`Effect::Write`] is let out only once that write is durable.
+
+use crate::version::ledger::{Command, Mark};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+/// An identity is drawn when a disk is first used, so a daemon that lost its disk is another voter.
+pub type VoterId = u64;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Voter {
+    pub id: VoterId,
+    pub ip: Ipv4Addr,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub term: u64,
+    pub mark: Mark,
+    pub command: Command,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    pub from: Voter,
+    pub to: VoterId,
+    pub term: u64,
+    pub body: Body,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks whether a vote would be given, without raising anybody's term.
+    PreVote {
+        last_index: u64,
+        last_term: u64,
+    },
+    PreVoteAnswer {
+        granted: bool,
+    },
+    RequestVote {
+        last_index: u64,
+        last_term: u64,
+    },
+    Vote {
+        granted: bool,
+    },
+    AppendEntries {
+        round: u64,
+        prev_index: u64,
+        prev_term: u64,
+        entries: Vec<Entry>,
+        commit: u64,
+    },
+    Appended {
+        round: u64,
+        success: bool,
+        index: u64,
+    },
+    InstallSnapshot {
+        round: u64,
+        snapshot: Snapshot,
+    },
+    /// A daemon outside the electorate asks to be sent the log.
+    Join {
+        voter: bool,
+    },
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub index: u64,
+    pub term: u64,
+    pub voters: Vec<Voter>,
+    pub state: Vec<u8>,
+}
+
+/// What is on disk.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Stored {
+    pub id: VoterId,
+    pub term: u64,
+    pub vote: Option<VoterId>,
+    pub snapshot: Snapshot,
+    /// Entries from `snapshot.index + 1` on.
+    pub log: Vec<Entry>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Write {
+    pub hard: Option<(u64, Option<VoterId>)>,
+    /// Entries from this index on are dropped before `entries` are written.
+    pub truncate: Option<u64>,
+    pub entries: Vec<(u64, Entry)>,
+    pub snapshot: Option<Snapshot>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// To be made durable; answered by [`Raft::durable`] with the same number.
+    Write(u64, Write),
+    Send(Ipv4Addr, Message),
+    /// The snapshot replaces the state machine's state.
+    Restore(Snapshot),
+    Apply(u64, Entry),
+    /// A read asked for with this token may be answered now.
+    Readable(u64),
+    /// The read's leader is gone; ask again elsewhere.
+    Unreadable(u64),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// T of the paper: follower timeouts come from U(T, 2T), heartbeats go every T/2.
+    pub t: Duration,
+    /// A leader counts as confirmed for this long after a round that a majority answered began.
+    pub confirm: Duration,
+}
+
+/// Broadcast times kept for the candidate's timer, and its bounds.
+const SAMPLES: usize = 64;
+const CANDIDATE_FLOOR: Duration = Duration::from_millis(20);
+/// Up to 2^this times the candidate timer after rejections by a majority.
+const BACKOFF_MAX: u32 = 4;
+/// Entries in one message, and its rough size.
+const BATCH_ENTRIES: usize = 64;
+const BATCH_BYTES: usize = 512 * 1024;
+/// Rounds remembered for confirmation.
+const ROUNDS: usize = 64;
+
+#[derive(Debug)]
+struct Peer {
+    ip: Ipv4Addr,
+    next: u64,
+    matched: u64,
+    /// Newest round answered.
+    round: u64,
+    heard: Option<Instant>,
+    /// Entries are on their way since then; none more until they are answered or this is old.
+    flying: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct Leading {
+    peers: BTreeMap<VoterId, Peer>,
+    rounds: VecDeque<(u64, Instant)>,
+    round: u64,
+    beat_due: Option<Instant>,
+    confirmed: Option<Instant>,
+    confirmed_round: u64,
+    reads: Vec<(u64, u64)>,
+    /// Index of this term's first entry.
+    first: u64,
+    since: Option<Instant>,
+}
+
+pub struct Raft {
+    me: Voter,
+    timing: Timing,
+    term: u64,
+    vote: Option<VoterId>,
+    snapshot: Snapshot,
+    log: VecDeque<Entry>,
+    commit: u64,
+    applied: u64,
+    durable: u64,
+    writes: u64,
+    /// Last index written by each write that is under way.
+    writing: VecDeque<(u64, u64)>,
+    role: Role,
+    leader: Option<Voter>,
+    due: Instant,
+    heard_leader: Option<Instant>,
+    votes: BTreeSet<VoterId>,
+    rejections: BTreeSet<VoterId>,
+    backoff: u32,
+    election_began: Instant,
+    broadcast: VecDeque<Duration>,
+    /// How long elections took that this daemon won.
+    pub elections: Vec<Duration>,
+    leading: Leading,
+    rng: fastrand::Rng,
+    out: Vec<Effect>,
+}
+
+fn jitter(rng: &mut fastrand::Rng, base: Duration) -> Duration {
+    base + base.mul_f64(rng.f64())
+}
+
+impl Raft {
+    pub fn new(now: Instant, me: Ipv4Addr, timing: Timing, stored: Stored, mut rng: fastrand::Rng) -> Self {
+        let due = now + jitter(&mut rng, timing.t);
+        let snapshot = stored.snapshot;
+        let last = snapshot.index + stored.log.len() as u64;
+        let mut raft = Raft {
+            me: Voter { id: stored.id, ip: me },
+            timing,
+            term: stored.term,
+            vote: stored.vote,
+            commit: snapshot.index,
+            applied: snapshot.index,
+            snapshot,
+            log: stored.log.into(),
+            durable: last,
+            writes: 0,
+            writing: VecDeque::new(),
+            role: Role::Follower,
+            leader: None,
+            due,
+            heard_leader: None,
+            votes: BTreeSet::new(),
+            rejections: BTreeSet::new(),
+            backoff: 0,
+            election_began: now,
+            broadcast: VecDeque::new(),
+            elections: Vec::new(),
+            leading: Leading::default(),
+            rng,
+            out: Vec::new(),
+        };
+        if raft.snapshot.index > 0 {
+            raft.out.push(Effect::Restore(raft.snapshot.clone()));
+        }
+        raft
+    }
+
+    pub fn me(&self) -> Voter {
+        self.me
+    }
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+    pub fn role(&self) -> Role {
+        self.role
+    }
+    pub fn leader(&self) -> Option<Voter> {
+        self.leader
+    }
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+    pub fn last_index(&self) -> u64 {
+        self.snapshot.index + self.log.len() as u64
+    }
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// The electorate: the newest in the log, committed or not.
+    pub fn voters(&self) -> Vec<Voter> {
+        for entry in self.log.iter().rev() {
+            if let Command::Voters { voters } = &entry.command {
+                return voters.clone();
+            }
+        }
+        self.snapshot.voters.clone()
+    }
+
+    pub fn is_voter(&self) -> bool {
+        self.voters().iter().any(|v| v.id == self.me.id)
+    }
+
+    /// Whether a majority has answered a round begun within the confirmation span, and an entry of
+    /// this term is committed: only then does this daemon act as the leader towards others.
+    pub fn confirmed(&self, now: Instant) -> bool {
+        self.role == Role::Leader
+            && self.commit >= self.leading.first
+            && self.leading.confirmed.is_some_and(|t| now < t + self.timing.confirm)
+    }
+
+    /// When this daemon began to lead.
+    pub fn leading_since(&self) -> Option<Instant> {
+        (self.role == Role::Leader).then_some(self.leading.since).flatten()
+    }
+
+    fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
+        }
+        let at = index.checked_sub(self.snapshot.index + 1)?;
+        self.log.get(at as usize).map(|e| e.term)
+    }
+
+    fn last_term(&self) -> u64 {
+        self.log.back().map_or(self.snapshot.term, |e| e.term)
+    }
+
+    fn write(&mut self, write: Write) {
+        self.writes += 1;
+        self.writing.push_back((self.writes, self.last_index()));
+        self.out.push(Effect::Write(self.writes, write));
+    }
+
+    fn write_hard(&mut self) {
+        let hard = Some((self.term, self.vote));
+        self.write(Write { hard, ..Write::default() });
+    }
+
+    fn send(&mut self, to: Voter, body: Body) {
+        let message = Message { from: self.me, to: to.id, term: self.term, body };
+        self.out.push(Effect::Send(to.ip, message));
+    }
+
+    /// The next moment at which [`Raft::tick`] has something to do.
+    pub fn next_due(&self) -> Instant {
+        match self.role {
+            Role::Leader => self.leading.beat_due.unwrap_or(self.due),
+            _ => self.due,
+        }
+    }
+
+    pub fn tick(&mut self, now: Instant) {
+        if self.role == Role::Leader {
+            if self.leading.beat_due.is_none_or(|d| now >= d) {
+                self.check_quorum(now);
+                if self.role == Role::Leader {
+                    self.begin_round(now);
+                }
+            }
+            return;
+        }
+        if now < self.due {
+            return;
+        }
+        if !self.is_voter() {
+            self.due = now + jitter(&mut self.rng, self.timing.t) * 2;
+            return;
+        }
+        match self.role {
+            Role::Follower => {
+                self.election_began = now;
+                self.backoff = 0;
+                self.leader = None;
+                self.ask_pre_votes(now);
+            }
+            Role::PreCandidate => self.ask_pre_votes(now),
+            Role::Candidate => {
+                if self.rejections.len() * 2 > self.voters().len() {
+                    self.backoff = (self.backoff + 1).min(BACKOFF_MAX);
+                }
+                self.ask_pre_votes(now);
+            }
+            Role::Leader => {}
+        }
+    }
+
+    /// The candidate's timer: at least µ + 2σ of the broadcast times measured here. Tails are long,
+    /// so the median and the median deviation stand in for mean and deviation.
+    pub fn candidate_timeout(&self) -> Duration {
+        let floor = if self.broadcast.is_empty() { self.timing.t } else { CANDIDATE_FLOOR };
+        let mut sorted: Vec<Duration> = self.broadcast.iter().copied().collect();
+        sorted.sort_unstable();
+        let Some(&median) = sorted.get(sorted.len() / 2) else { return floor };
+        let mut apart: Vec<Duration> = sorted.iter().map(|d| d.abs_diff(median)).collect();
+        apart.sort_unstable();
+        let sigma = apart[apart.len() / 2].mul_f64(1.4826);
+        (median + 2 * sigma).max(floor).min(self.timing.t * 2)
+    }
+
+    fn arm_candidate(&mut self, now: Instant) {
+        let base = self.candidate_timeout() * 2u32.pow(self.backoff);
+        self.due = now + jitter(&mut self.rng, base);
+        self.votes = BTreeSet::from([self.me.id]);
+        self.rejections.clear();
+    }
+
+    fn others(&self) -> Vec<Voter> {
+        self.voters().into_iter().filter(|v| v.id != self.me.id).collect()
+    }
+
+    fn has_majority(&self, votes: &BTreeSet<VoterId>) -> bool {
+        let voters = self.voters();
+        voters.iter().filter(|v| votes.contains(&v.id)).count() * 2 > voters.len()
+    }
+
+    fn ask_pre_votes(&mut self, now: Instant) {
+        self.role = Role::PreCandidate;
+        self.arm_candidate(now);
+        let (last_index, last_term) = (self.last_index(), self.last_term());
+        for peer in self.others() {
+            self.send(peer, Body::PreVote { last_index, last_term });
+        }
+        if self.has_majority(&self.votes) {
+            self.stand(now);
+        }
+    }
+
+    fn stand(&mut self, now: Instant) {
+        self.role = Role::Candidate;
+        self.term += 1;
+        self.vote = Some(self.me.id);
+        self.write_hard();
+        self.arm_candidate(now);
+        let (last_index, last_term) = (self.last_index(), self.last_term());
+        for peer in self.others() {
+            self.send(peer, Body::RequestVote { last_index, last_term });
+        }
+        if self.has_majority(&self.votes) {
+            self.lead(now);
+        }
+    }
+
+    fn lead(&mut self, now: Instant) {
+        self.role = Role::Leader;
+        self.leader = Some(self.me);
+        self.elections.push(now.duration_since(self.election_began));
+        let next = self.last_index() + 1;
+        self.leading = Leading { first: next, since: Some(now), ..Leading::default() };
+        for peer in self.others() {
+            self.add_peer(peer, next);
+        }
+        self.append(now, Mark::default(), Command::Noop);
+    }
+
+    fn add_peer(&mut self, peer: Voter, next: u64) {
+        let fresh = Peer { ip: peer.ip, next, matched: 0, round: 0, heard: None, flying: None };
+        self.leading.peers.insert(peer.id, fresh);
+    }
+
+    fn follow(&mut self, now: Instant, term: u64, leader: Option<Voter>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.write_hard();
+        }
+        if self.role == Role::Leader {
+            for (token, _) in std::mem::take(&mut self.leading.reads) {
+                self.out.push(Effect::Unreadable(token));
+            }
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.due = now + jitter(&mut self.rng, self.timing.t);
+    }
+
+    /// Takes a proposal; only a leader does.
+    pub fn propose(&mut self, now: Instant, mark: Mark, command: Command) -> Option<u64> {
+        if self.role != Role::Leader {
+            return None;
+        }
+        Some(self.append(now, mark, command))
+    }
+
+    fn append(&mut self, now: Instant, mark: Mark, command: Command) -> u64 {
+        let voters_change = matches!(command, Command::Voters { .. });
+        let entry = Entry { term: self.term, mark, command };
+        self.log.push_back(entry.clone());
+        let index = self.last_index();
+        self.write(Write { entries: vec![(index, entry)], ..Write::default() });
+        if voters_change {
+            for voter in self.others() {
+                if !self.leading.peers.contains_key(&voter.id) {
+                    self.add_peer(voter, index);
+                }
+            }
+        }
+        self.begin_round(now);
+        index
+    }
+
+    /// Asks for proof that this is still the leader; answered by `Readable` or `Unreadable`.
+    pub fn read(&mut self, now: Instant, token: u64) {
+        if self.role != Role::Leader {
+            self.out.push(Effect::Unreadable(token));
+            return;
+        }
+        self.begin_round(now);
+        self.leading.reads.push((self.leading.round, token));
+        self.settle_reads();
+    }
+
+    fn begin_round(&mut self, now: Instant) {
+        self.leading.round += 1;
+        self.leading.rounds.push_back((self.leading.round, now));
+        if self.leading.rounds.len() > ROUNDS {
+            self.leading.rounds.pop_front();
+        }
+        self.leading.beat_due = Some(now + self.timing.t / 2);
+        let ids: Vec<VoterId> = self.leading.peers.keys().copied().collect();
+        for id in ids {
+            self.replicate(now, id, true);
+        }
+        self.confirm_round(now);
+        self.advance(now);
+    }
+
+    fn replicate(&mut self, now: Instant, id: VoterId, beat: bool) {
+        let round = self.leading.round;
+        let t = self.timing.t;
+        let Some(peer) = self.leading.peers.get_mut(&id) else { return };
+        let to = Voter { id, ip: peer.ip };
+        let clear = peer.flying.is_none_or(|since| now.duration_since(since) > t);
+        let (next, next_prev) = (peer.next, peer.next - 1);
+        if next_prev < self.snapshot.index {
+            if clear {
+                peer.flying = Some(now);
+                let snapshot = self.snapshot.clone();
+                self.send(to, Body::InstallSnapshot { round, snapshot });
+            } else if beat {
+                let body = Body::AppendEntries {
+                    round,
+                    prev_index: self.snapshot.index,
+                    prev_term: self.snapshot.term,
+                    entries: Vec::new(),
+                    commit: self.commit,
+                };
+                self.send(to, body);
+            }
+            return;
+        }
+        let mut entries = Vec::new();
+        if clear {
+            let from = (next - self.snapshot.index - 1) as usize;
+            let mut bytes = 0;
+            for entry in self.log.iter().skip(from).take(BATCH_ENTRIES) {
+                bytes += if let Command::Configure { raw, .. } = &entry.command { raw.len() } else { 128 };
+                entries.push(entry.clone());
+                if bytes > BATCH_BYTES {
+                    break;
+                }
+            }
+        }
+        if entries.is_empty() && !beat {
+            return;
+        }
+        if !entries.is_empty() {
+            peer.flying = Some(now);
+        }
+        let prev_term = self.term_at(next_prev).unwrap_or(0);
+        let body = Body::AppendEntries { round, prev_index: next_prev, prev_term, entries, commit: self.commit };
+        self.send(to, body);
+    }
+
+    /// A leader that no majority answers steps down (ours).
+    fn check_quorum(&mut self, now: Instant) {
+        let patience = self.timing.t * 2;
+        if self.leading.since.is_some_and(|s| now.duration_since(s) < patience) {
+            return;
+        }
+        let mut heard: BTreeSet<VoterId> = BTreeSet::from([self.me.id]);
+        for (id, peer) in &self.leading.peers {
+            if peer.heard.is_some_and(|h| now.duration_since(h) < patience) {
+                heard.insert(*id);
+            }
+        }
+        if !self.has_majority(&heard) {
+            self.follow(now, self.term, None);
+        }
+    }
+
+    fn confirm_round(&mut self, now: Instant) {
+        let voters = self.voters();
+        let mut rounds: Vec<u64> = voters
+            .iter()
+            .map(|v| {
+                if v.id == self.me.id {
+                    self.leading.round
+                } else {
+                    self.leading.peers.get(&v.id).map_or(0, |p| p.round)
+                }
+            })
+            .collect();
+        rounds.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&round) = rounds.get(voters.len() / 2) else { return };
+        if round <= self.leading.confirmed_round {
+            return;
+        }
+        self.leading.confirmed_round = round;
+        if let Some((_, began)) = self.leading.rounds.iter().find(|(r, _)| *r == round) {
+            let began = *began;
+            self.leading.confirmed = Some(began);
+            self.broadcast.push_back(now.duration_since(began));
+            if self.broadcast.len() > SAMPLES {
+                self.broadcast.pop_front();
+            }
+        }
+        self.leading.rounds.retain(|(r, _)| *r > round);
+        self.settle_reads();
+    }
+
+    fn settle_reads(&mut self) {
+        if self.commit < self.leading.first {
+            return;
+        }
+        let confirmed = self.leading.confirmed_round;
+        let mut reads = std::mem::take(&mut self.leading.reads);
+        reads.retain(|(round, token)| {
+            let ready = *round <= confirmed;
+            if ready {
+                self.out.push(Effect::Readable(*token));
+            }
+            !ready
+        });
+        self.leading.reads = reads;
+    }
+
+    /// Commits what a majority holds durably, and only by way of an entry of this term.
+    fn advance(&mut self, _now: Instant) {
+        let voters = self.voters();
+        let mut held: Vec<u64> =
+            voters
+                .iter()
+                .map(|v| {
+                    if v.id == self.me.id {
+                        self.durable
+                    } else {
+                        self.leading.peers.get(&v.id).map_or(0, |p| p.matched)
+                    }
+                })
+                .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&index) = held.get(voters.len() / 2) else { return };
+        if index > self.commit && self.term_at(index) == Some(self.term) {
+            self.commit_to(index);
+            self.settle_reads();
+            if !self.voters().iter().any(|v| v.id == self.me.id) {
+                self.role = Role::Follower;
+                self.leader = None;
+            }
+        }
+    }
+
+    fn commit_to(&mut self, index: u64) {
+        self.commit = self.commit.max(index.min(self.last_index()));
+        while self.applied < self.commit {
+            self.applied += 1;
+            let entry = self.log[(self.applied - self.snapshot.index - 1) as usize].clone();
+            self.out.push(Effect::Apply(self.applied, entry));
+        }
+    }
+
+    /// A write is on disk.
+    pub fn durable(&mut self, now: Instant, write: u64) {
+        while let Some((number, last)) = self.writing.front().copied() {
+            if number > write {
+                break;
+            }
+            self.writing.pop_front();
+            self.durable = last;
+        }
+        self.durable = self.durable.min(self.last_index());
+        if self.role == Role::Leader {
+            self.advance(now);
+        }
+    }
+
+    fn up_to_date(&self, last_index: u64, last_term: u64) -> bool {
+        (last_term, last_index) >= (self.last_term(), self.last_index())
+    }
+
+    pub fn receive(&mut self, now: Instant, message: Message) {
+        let Message { from, to, term, body } = message;
+        if to != self.me.id && !matches!(body, Body::Join { .. }) {
+            return;
+        }
+        match body {
+            Body::PreVote { last_index, last_term } => {
+                // One that still hears its leader does not help to unseat it.
+                let content = self.role == Role::Leader
+                    || self.heard_leader.is_some_and(|h| now.duration_since(h) < self.timing.t);
+                let granted = !content && term >= self.term && self.up_to_date(last_index, last_term);
+                self.send(from, Body::PreVoteAnswer { granted });
+                return;
+            }
+            Body::PreVoteAnswer { granted } => {
+                if term > self.term {
+                    self.follow(now, term, None);
+                } else if self.role == Role::PreCandidate && granted {
+                    self.votes.insert(from.id);
+                    if self.has_majority(&self.votes) {
+                        self.stand(now);
+                    }
+                }
+                return;
+            }
+            Body::Join { voter } => {
+                self.admit(now, from, voter);
+                return;
+            }
+            _ => {}
+        }
+        if term > self.term {
+            let leads = matches!(body, Body::AppendEntries { .. } | Body::InstallSnapshot { .. });
+            self.follow(now, term, leads.then_some(from));
+        }
+        match body {
+            Body::RequestVote { last_index, last_term } => {
+                let granted = term == self.term
+                    && matches!(self.role, Role::Follower | Role::PreCandidate)
+                    && self.vote.is_none_or(|v| v == from.id)
+                    && self.up_to_date(last_index, last_term)
+                    && self.is_voter();
+                if granted {
+                    if self.vote.is_none() {
+                        self.vote = Some(from.id);
+                        self.write_hard();
+                    }
+                    self.role = Role::Follower;
+                    self.due = now + jitter(&mut self.rng, self.timing.t);
+                }
+                self.send(from, Body::Vote { granted });
+            }
+            Body::Vote { granted } => {
+                if self.role != Role::Candidate || term != self.term {
+                    return;
+                }
+                if granted {
+                    self.votes.insert(from.id);
+                    if self.has_majority(&self.votes) {
+                        self.lead(now);
+                    }
+                } else {
+                    self.rejections.insert(from.id);
+                }
+            }
+            Body::AppendEntries { round, prev_index, prev_term, entries, commit } => {
+                if term < self.term {
+                    self.send(from, Body::Appended { round, success: false, index: 0 });
+                    return;
+                }
+                self.hear(now, from);
+                let (success, index) = self.take(prev_index, prev_term, entries);
+                if success {
+                    self.commit_to(commit.min(index));
+                }
+                self.send(from, Body::Appended { round, success, index });
+            }
+            Body::InstallSnapshot { round, snapshot } => {
+                if term < self.term {
+                    return;
+                }
+                self.hear(now, from);
+                if snapshot.index > self.commit {
+                    self.install(snapshot);
+                }
+                let index = self.commit;
+                self.send(from, Body::Appended { round, success: true, index });
+            }
+            Body::Appended { round, success, index } => self.appended(now, from, term, round, success, index),
+            Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Join { .. } => {}
+        }
+    }
+
+    fn hear(&mut self, now: Instant, leader: Voter) {
+        self.role = Role::Follower;
+        self.leader = Some(leader);
+        self.heard_leader = Some(now);
+        self.due = now + jitter(&mut self.rng, self.timing.t);
+    }
+
+    /// The log check and the append; says whether it fitted and up to where the log agrees, or else
+    /// from where to try again.
+    fn take(&mut self, prev_index: u64, prev_term: u64, entries: Vec<Entry>) -> (bool, u64) {
+        if prev_index < self.snapshot.index {
+            // What the snapshot covers is committed here.
+            let covered = (self.snapshot.index - prev_index) as usize;
+            if entries.len() <= covered {
+                return (true, prev_index + entries.len() as u64);
+            }
+            return self.take(self.snapshot.index, self.snapshot.term, entries[covered..].to_vec());
+        }
+        match self.term_at(prev_index) {
+            Some(t) if t == prev_term => {}
+            Some(_) => return (false, self.commit.max(prev_index.saturating_sub(1))),
+            None => return (false, self.last_index()),
+        }
+        let mut write = Write::default();
+        let agreed = prev_index + entries.len() as u64;
+        for (at, entry) in entries.into_iter().enumerate() {
+            let index = prev_index + 1 + at as u64;
+            match self.term_at(index) {
+                Some(t) if t == entry.term => continue,
+                Some(_) => {
+                    assert!(index > self.commit, "a committed entry would be dropped");
+                    self.log.truncate((index - self.snapshot.index - 1) as usize);
+                    self.durable = self.durable.min(index - 1);
+                    for (_, last) in &mut self.writing {
+                        *last = (*last).min(index - 1);
+                    }
+                    write.truncate = Some(index);
+                }
+                None => {}
+            }
+            self.log.push_back(entry.clone());
+            write.entries.push((index, entry));
+        }
+        if write != Write::default() {
+            self.write(write);
+        }
+        (true, agreed)
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        self.log.clear();
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.durable = snapshot.index;
+        self.writing.iter_mut().for_each(|(_, last)| *last = snapshot.index);
+        self.snapshot = snapshot.clone();
+        let write = Write { truncate: Some(0), snapshot: Some(snapshot.clone()), ..Write::default() };
+        self.write(write);
+        self.out.push(Effect::Restore(snapshot));
+    }
+
+    fn appended(&mut self, now: Instant, from: Voter, term: u64, round: u64, success: bool, index: u64) {
+        if self.role != Role::Leader || term != self.term {
+            return;
+        }
+        let last = self.last_index();
+        let Some(peer) = self.leading.peers.get_mut(&from.id) else { return };
+        peer.heard = Some(now);
+        peer.round = peer.round.max(round);
+        peer.ip = from.ip;
+        peer.flying = None;
+        if success {
+            peer.matched = peer.matched.max(index);
+            peer.next = peer.next.max(peer.matched + 1);
+        } else {
+            peer.next = (index + 1).min(peer.next.saturating_sub(1)).max(1);
+        }
+        let more = peer.next <= last;
+        self.confirm_round(now);
+        self.advance(now);
+        if self.role == Role::Leader {
+            if more {
+                self.replicate(now, from.id, false);
+            }
+            self.settle_membership(now);
+        }
+    }
+
+    /// A daemon outside the electorate is sent the log; one that took a voter's place (same address,
+    /// new disk) is admitted as that voter's replacement, in two steps so that majorities overlap.
+    fn admit(&mut self, now: Instant, from: Voter, wants_vote: bool) {
+        if self.role != Role::Leader || from.id == self.me.id {
+            return;
+        }
+        let voters = self.voters();
+        if !self.leading.peers.contains_key(&from.id) {
+            let next = self.last_index() + 1;
+            self.add_peer(from, next);
+            self.replicate(now, from.id, true);
+        }
+        let settled = self.commit == self.last_index() || self.commit >= self.last_voters_index();
+        if !wants_vote || !settled || self.commit < self.leading.first || voters.iter().any(|v| v.id == from.id) {
+            return;
+        }
+        if let Some(old) = voters.iter().find(|v| v.ip == from.ip) {
+            let voters: Vec<Voter> = voters.iter().copied().filter(|v| v.id != old.id).collect();
+            let gone = old.id;
+            self.leading.peers.remove(&gone);
+            self.append(now, Mark::default(), Command::Voters { voters });
+        }
+    }
+
+    /// Re-admits a daemon whose old identity was removed once it has caught up.
+    fn settle_membership(&mut self, now: Instant) {
+        if self.commit < self.leading.first || self.commit < self.last_voters_index() {
+            return;
+        }
+        let voters = self.voters();
+        if voters.len() >= self.original_size() {
+            return;
+        }
+        let caught_up = self.leading.peers.iter().find(|(id, p)| {
+            p.matched + 1 >= self.commit && p.heard.is_some() && voters.iter().all(|v| v.id != **id && v.ip != p.ip)
+        });
+        if let Some((id, peer)) = caught_up {
+            let mut voters = voters;
+            voters.push(Voter { id: *id, ip: peer.ip });
+            voters.sort_unstable();
+            self.append(now, Mark::default(), Command::Voters { voters });
+        }
+    }
+
+    fn last_voters_index(&self) -> u64 {
+        let at = self.log.iter().rposition(|e| matches!(e.command, Command::Voters { .. }));
+        at.map_or(0, |at| self.snapshot.index + 1 + at as u64)
+    }
+
+    /// The electorate keeps an odd size: an even one lacks the voter just removed.
+    fn original_size(&self) -> usize {
+        self.voters().len() | 1
+    }
+
+    /// What a daemon outside the electorate sends to be sent the log.
+    pub fn join(&mut self, to: Ipv4Addr, voter: bool) {
+        self.send(Voter { id: 0, ip: to }, Body::Join { voter });
+    }
+
+    /// Replaces the applied part of the log by the state it led to.
+    pub fn compact(&mut self, state: Vec<u8>) {
+        let index = self.applied;
+        let Some(term) = self.term_at(index) else { return };
+        if index == self.snapshot.index {
+            return;
+        }
+        let mut voters = self.snapshot.voters.clone();
+        for entry in self.log.drain(..(index - self.snapshot.index) as usize) {
+            if let Command::Voters { voters: newer } = entry.command {
+                voters = newer;
+            }
+        }
+        self.snapshot = Snapshot { index, term, voters, state };
+        let snapshot = Some(self.snapshot.clone());
+        self.write(Write { snapshot, ..Write::default() });
+    }
+
+    /// Entries that are applied and could be compacted away.
+    pub fn compactable(&self) -> u64 {
+        self.applied - self.snapshot.index
+    }
+
+    /// The very first electorate, fixed before the first election and written with the identity.
+    pub fn found(&mut self, voters: Vec<Voter>) {
+        if self.last_index() == 0 && self.snapshot.voters.is_empty() {
+            self.snapshot.voters = voters;
+            let snapshot = Some(self.snapshot.clone());
+            self.write(Write { snapshot, ..Write::default() });
+        }
+    }
+}
--- /dev/null
+++ b/brood/src/process/relay.rs
@@ -0,0 +1,297 @@
+//! The tree of relays that news runs down: who feeds this daemon and whom it feeds.
+
+use super::dance::{Dance, Pulse};
+use super::repair::{Copies, Fact};
+use super::views::{Card, Views};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+/// Children a daemon feeds at most; more are sent on.
+const FAN_OUT: usize = 4;
+/// Pulses go this often; a parent silent for `PATIENCE` is left.
+pub const PULSE: Duration = Duration::from_millis(500);
+const PATIENCE: Duration = Duration::from_millis(1600);
+const ANSWER: Duration = Duration::from_millis(600);
+const SHUFFLE: Duration = Duration::from_secs(3);
+/// Deeper than this, a daemon looks for a better place.
+const DEPTH_MAX: u8 = 6;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Parent {
+    None,
+    Asked(Ipv4Addr, Instant),
+    Fed(Ipv4Addr, Instant),
+}
+
+/// One daemon's place in the tree. A root (a daemon that keeps the log) has no parent.
+#[derive(Debug)]
+pub struct Relay {
+    root: bool,
+    parent: Parent,
+    depth: u8,
+    /// When the leader was last known to be alive, as told from above.
+    fresh: Option<Instant>,
+    leader: Option<Ipv4Addr>,
+    children: BTreeMap<Ipv4Addr, (Card, Instant)>,
+    /// Where to try next, nearest first.
+    tries: Vec<Ipv4Addr>,
+    seeds: Vec<Ipv4Addr>,
+    pulse_due: Instant,
+    shuffle_due: Instant,
+    pub views: Views,
+    pub copies: Copies,
+    out: Vec<(Ipv4Addr, Dance)>,
+    news: Vec<Fact>,
+}
+
+impl Relay {
+    pub fn new(now: Instant, views: Views, seeds: Vec<Ipv4Addr>, root: bool) -> Self {
+        Relay {
+            root,
+            parent: Parent::None,
+            depth: 0,
+            fresh: None,
+            leader: None,
+            children: BTreeMap::new(),
+            tries: Vec::new(),
+            seeds,
+            pulse_due: now,
+            shuffle_due: now + SHUFFLE / 3,
+            views,
+            copies: Copies::default(),
+            out: Vec::new(),
+            news: Vec::new(),
+        }
+    }
+
+    pub fn messages(&mut self) -> Vec<(Ipv4Addr, Dance)> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Facts that came in newer than what was held, since the last call.
+    pub fn news(&mut self) -> Vec<Fact> {
+        std::mem::take(&mut self.news)
+    }
+
+    pub fn leader(&self) -> Option<Ipv4Addr> {
+        self.leader
+    }
+
+    /// How old the newest sign of the leader is.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.fresh.map(|f| now.duration_since(f))
+    }
+
+    /// A root learns of the leader from the log's own traffic.
+    pub fn root_heard(&mut self, now: Instant, leader: Option<Ipv4Addr>) {
+        self.leader = leader;
+        if leader.is_some() {
+            self.fresh = Some(now);
+        }
+    }
+
+    /// Takes news from this daemon itself and passes it on.
+    pub fn publish(&mut self, facts: Vec<Fact>) {
+        self.spread(None, facts);
+    }
+
+    fn spread(&mut self, from: Option<Ipv4Addr>, facts: Vec<Fact>) {
+        let newer: Vec<Fact> = facts.into_iter().filter(|f| self.copies.take(f)).collect();
+        if newer.is_empty() {
+            return;
+        }
+        for child in self.children.keys().filter(|c| Some(**c) != from) {
+            self.out.push((*child, Dance::Facts(newer.clone())));
+        }
+        if from.is_some() {
+            self.news.extend(newer);
+        }
+    }
+
+    fn pulse(&self, now: Instant) -> Pulse {
+        Pulse {
+            age: self.age(now).unwrap_or(Duration::from_secs(3600)),
+            depth: self.depth,
+            leader: self.leader,
+            digests: self.copies.digests(),
+        }
+    }
+
+    pub fn tick(&mut self, now: Instant) {
+        if now >= self.shuffle_due {
+            self.shuffle_due = now + SHUFFLE;
+            if let Some((partner, cards)) = self.views.shuffle() {
+                self.out.push((partner, Dance::Shuffle { cards, answer: false }));
+            } else {
+                let cards = self.views.sample(self.views.me().ip);
+                for seed in self.seeds.iter().filter(|s| **s != self.views.me().ip) {
+                    self.out.push((*seed, Dance::Shuffle { cards: cards.clone(), answer: false }));
+                }
+            }
+        }
+        if now >= self.pulse_due {
+            self.pulse_due = now + PULSE;
+            self.children.retain(|_, (_, heard)| now.duration_since(*heard) < PATIENCE * 2);
+            let pulse = self.pulse(now);
+            for child in self.children.keys() {
+                self.out.push((*child, Dance::Pulse(pulse.clone())));
+            }
+        }
+        if self.root {
+            return;
+        }
+        match self.parent {
+            Parent::Fed(_, heard) if now.duration_since(heard) < PATIENCE => {}
+            Parent::Asked(_, since) if now.duration_since(since) < ANSWER => {}
+            Parent::Fed(old, _) => {
+                self.out.push((old, Dance::Detach));
+                self.seek(now);
+            }
+            Parent::None | Parent::Asked(..) => self.seek(now),
+        }
+    }
+
+    pub fn next_due(&self) -> Instant {
+        let parent = match self.parent {
+            _ if self.root => self.pulse_due,
+            Parent::None => self.pulse_due,
+            Parent::Asked(_, since) => since + ANSWER,
+            Parent::Fed(_, heard) => heard + PATIENCE,
+        };
+        self.pulse_due.min(parent).min(self.shuffle_due)
+    }
+
+    fn seek(&mut self, now: Instant) {
+        if self.tries.is_empty() {
+            let me = self.views.me().clone();
+            let mut cards: Vec<(u8, Ipv4Addr)> = Vec::new();
+            for card in self.views.cards() {
+                let root = card.control.is_some();
+                let near = card.zone == me.zone;
+                cards.push((u8::from(!near) + 2 * u8::from(!root), card.ip));
+            }
+            for seed in &self.seeds {
+                if !cards.iter().any(|(_, ip)| ip == seed) {
+                    cards.push((1, *seed));
+                }
+            }
+            cards.sort_by_key(|(rank, ip)| (std::cmp::Reverse(*rank), spot(me.ip, *ip)));
+            self.tries = cards
+                .into_iter()
+                .map(|(_, ip)| ip)
+                .filter(|ip| *ip != me.ip && !self.children.contains_key(ip))
+                .collect();
+        }
+        let Some(next) = self.tries.pop() else {
+            self.parent = Parent::None;
+            return;
+        };
+        self.parent = Parent::Asked(next, now);
+        self.out.push((next, Dance::Attach { card: self.views.me().clone() }));
+    }
+
+    /// Takes what belongs to the tree, the views and the repair; hands anything else back.
+    pub fn receive(&mut self, now: Instant, from: Ipv4Addr, dance: Dance) -> Option<Dance> {
+        match dance {
+            Dance::Attach { card } => {
+                self.views.take(std::slice::from_ref(&card));
+                let cyclic = matches!(self.parent, Parent::Fed(p, _) | Parent::Asked(p, _) if p == from);
+                let fed = self.root || matches!(self.parent, Parent::Fed(..));
+                let room = self.children.len() < FAN_OUT || self.children.contains_key(&from);
+                if room && fed && !cyclic && self.depth < DEPTH_MAX {
+                    self.children.insert(from, (card, now));
+                    self.out.push((from, Dance::Welcome { pulse: self.pulse(now) }));
+                } else {
+                    let others = self.children.values().map(|(c, _)| c.clone()).collect();
+                    self.out.push((from, Dance::Full { others }));
+                }
+            }
+            Dance::Welcome { pulse } => {
+                if matches!(self.parent, Parent::Asked(p, _) if p == from) {
+                    self.parent = Parent::Fed(from, now);
+                    self.tries.clear();
+                    self.hear(now, from, pulse);
+                } else if !matches!(self.parent, Parent::Fed(p, _) if p == from) {
+                    self.out.push((from, Dance::Detach));
+                }
+            }
+            Dance::Full { others } => {
+                self.views.take(&others);
+                if matches!(self.parent, Parent::Asked(p, _) if p == from) {
+                    if self.tries.is_empty() {
+                        self.tries = others.iter().map(|c| c.ip).filter(|ip| *ip != self.views.me().ip).collect();
+                    }
+                    self.seek(now);
+                }
+            }
+            Dance::Detach => {
+                self.children.remove(&from);
+            }
+            Dance::Pulse(pulse) => {
+                if matches!(self.parent, Parent::Fed(p, _) if p == from) {
+                    self.hear(now, from, pulse);
+                } else {
+                    self.out.push((from, Dance::Detach));
+                }
+            }
+            Dance::Facts(facts) => self.spread(Some(from), facts),
+            Dance::Compare { ranges, versions } => {
+                if let Some((_, heard)) = self.children.get_mut(&from) {
+                    *heard = now;
+                }
+                if !ranges.is_empty() {
+                    let facts = self.copies.newer_than(&ranges, &versions);
+                    if !facts.is_empty() {
+                        self.out.push((from, Dance::Facts(facts)));
+                    }
+                }
+            }
+            Dance::Shuffle { cards, answer } => {
+                if !answer {
+                    let mine = self.views.sample(from);
+                    self.out.push((from, Dance::Shuffle { cards: mine, answer: true }));
+                }
+                self.views.take(&cards);
+            }
+            other => return Some(other),
+        }
+        None
+    }
+
+    fn hear(&mut self, now: Instant, from: Ipv4Addr, pulse: Pulse) {
+        self.parent = Parent::Fed(from, now);
+        self.depth = pulse.depth.saturating_add(1);
+        let sign = now.checked_sub(pulse.age);
+        if sign > self.fresh {
+            self.fresh = sign;
+            self.leader = pulse.leader;
+        } else if pulse.leader.is_some() && self.leader.is_none() {
+            self.leader = pulse.leader;
+        }
+        // The answer also tells the parent that this child lives.
+        let ranges = self.copies.differing(&pulse.digests);
+        let versions = self.copies.versions(&ranges);
+        self.out.push((from, Dance::Compare { ranges, versions }));
+        if pulse.age > PATIENCE * 2 || self.depth > DEPTH_MAX {
+            // Fed by one that is cut off itself: look elsewhere.
+            self.out.push((from, Dance::Detach));
+            self.parent = Parent::None;
+        }
+    }
+
+    /// Tells children and parent that this daemon leaves.
+    pub fn leave(&mut self) {
+        if let Parent::Fed(parent, _) = self.parent {
+            self.out.push((parent, Dance::Detach));
+        }
+    }
+}
+
+/// Spreads children over equally good parents.
+fn spot(me: Ipv4Addr, other: Ipv4Addr) -> u64 {
+    let mut bytes = [0; 8];
+    bytes[..4].copy_from_slice(&me.octets());
+    bytes[4..].copy_from_slice(&other.octets());
+    super::repair::digest(&bytes)
+}
--- /dev/null
+++ b/brood/src/request/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for one request.
+
+pub mod statement;
+pub mod verdict;
--- /dev/null
+++ b/brood/src/version/ledger.rs
@@ -0,0 +1,306 @@
+//! The state that the replicated log decides: configuration, primaries, drains, shares, duties.
+//! Applying is deterministic; every daemon that keeps the log reaches the same ledger.
+
+use super::config;
+use crate::process::raft::Voter;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// A new leader's first entry: commits what came before it.
+    Noop,
+    Configure {
+        if_match: u64,
+        raw: Vec<u8>,
+    },
+    /// No lease is given for this epoch any more: the primary is about to be replaced.
+    Close {
+        service: String,
+        epoch: u64,
+    },
+    /// The platform is about to be asked to let `target` take over.
+    Name {
+        service: String,
+        epoch: u64,
+        target: String,
+        holder: String,
+    },
+    /// `primary` is known to lead `term`; leases may be given for `epoch`.
+    Crown {
+        service: String,
+        epoch: u64,
+        primary: String,
+        term: u64,
+    },
+    Drain {
+        id: String,
+    },
+    /// How the capped connections are split among the data plane's daemons, in parts.
+    Shares {
+        parts: BTreeMap<String, u32>,
+    },
+    /// What will be reported for a window, fixed before it is sent.
+    Usage {
+        window: u64,
+        counts: BTreeMap<String, u64>,
+        holder: String,
+    },
+    Voters {
+        voters: Vec<Voter>,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    Done,
+    /// Another version is current.
+    Outrun {
+        current: u64,
+    },
+    Invalid {
+        why: String,
+    },
+}
+
+/// A proposer's mark on an entry; serial 0 is the leader's own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    pub proposer: u64,
+    pub serial: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Version {
+    pub revision: u64,
+    pub raw: Vec<u8>,
+}
+
+/// Who may take a service's primary work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Epoch {
+    pub epoch: u64,
+    pub primary: String,
+    pub term: u64,
+    /// Closed epochs get no lease.
+    pub closed: bool,
+    /// The instance last named to the platform in this epoch.
+    pub named: Option<String>,
+    /// The daemon that last held this service's duty at the platform.
+    pub holder: Option<String>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub counts: BTreeMap<String, u64>,
+    pub holder: String,
+}
+
+/// How many results per proposer, accepted configurations, drains and reports are kept.
+const KEPT_RESULTS: usize = 64;
+const KEPT_ACCEPTED: usize = 64;
+const KEPT_DRAINS: usize = 256;
+const KEPT_REPORTS: usize = 16;
+const KEPT_PROPOSERS: usize = 64;
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    pub index: u64,
+    pub config: Option<Version>,
+    /// Digests of the configurations taken, so that a resend is known.
+    accepted: VecDeque<u64>,
+    pub epochs: BTreeMap<String, Epoch>,
+    pub drains: VecDeque<String>,
+    pub parts: BTreeMap<String, u32>,
+    pub reports: BTreeMap<u64, Report>,
+    /// The daemon that last held the usage duty.
+    pub usage_holder: Option<String>,
+    results: VecDeque<(u64, VecDeque<(u64, Outcome)>)>,
+    pub voters: Vec<Voter>,
+    /// When each fact last changed, as a log index.
+    pub changed: BTreeMap<String, u64>,
+}
+
+impl Ledger {
+    pub fn revision(&self) -> u64 {
+        self.config.as_ref().map_or(0, |c| c.revision)
+    }
+
+    /// The result of a proposal that was applied already.
+    pub fn result(&self, mark: Mark) -> Option<&Outcome> {
+        let (_, results) = self.results.iter().find(|(p, _)| *p == mark.proposer)?;
+        results.iter().find(|(s, _)| *s == mark.serial).map(|(_, o)| o)
+    }
+
+    /// Applies the entry at `index`; a repeat of a proposal changes nothing.
+    pub fn apply(&mut self, index: u64, mark: Mark, command: &Command) -> Outcome {
+        debug_assert_eq!(index, self.index + 1);
+        self.index = index;
+        if mark.serial != 0
+            && let Some(known) = self.result(mark)
+        {
+            return known.clone();
+        }
+        let outcome = self.decide(command);
+        if mark.serial != 0 {
+            self.remember(mark, outcome.clone());
+        }
+        outcome
+    }
+
+    fn remember(&mut self, mark: Mark, outcome: Outcome) {
+        let mut results = match self.results.iter().position(|(p, _)| *p == mark.proposer) {
+            Some(at) => self.results.remove(at).map(|(_, r)| r).unwrap_or_default(),
+            None => VecDeque::new(),
+        };
+        results.push_back((mark.serial, outcome));
+        if results.len() > KEPT_RESULTS {
+            results.pop_front();
+        }
+        self.results.push_back((mark.proposer, results));
+        if self.results.len() > KEPT_PROPOSERS {
+            self.results.pop_front();
+        }
+    }
+
+    fn note(&mut self, key: String) {
+        self.changed.insert(key, self.index);
+    }
+
+    fn decide(&mut self, command: &Command) -> Outcome {
+        match command {
+            Command::Noop => {}
+            Command::Configure { if_match, raw } => return self.configure(*if_match, raw),
+            Command::Close { service, epoch } => {
+                let Some(e) = self.epochs.get_mut(service).filter(|e| e.epoch == *epoch) else {
+                    return Outcome::Outrun { current: 0 };
+                };
+                e.closed = true;
+                self.note(format!("e/{service}"));
+            }
+            Command::Name { service, epoch, target, holder } => {
+                let Some(e) = self.epochs.get_mut(service).filter(|e| e.epoch == *epoch && e.closed) else {
+                    return Outcome::Outrun { current: 0 };
+                };
+                e.named = Some(target.clone());
+                e.holder = Some(holder.clone());
+            }
+            Command::Crown { service, epoch, primary, term } => {
+                let old = self.epochs.get(service);
+                if old.map_or(0, |e| e.epoch) + 1 != *epoch || old.is_some_and(|e| !e.closed || e.term > *term) {
+                    return Outcome::Outrun { current: 0 };
+                }
+                let holder = old.and_then(|e| e.holder.clone());
+                let new =
+                    Epoch { epoch: *epoch, primary: primary.clone(), term: *term, closed: false, named: None, holder };
+                self.epochs.insert(service.clone(), new);
+                self.note(format!("e/{service}"));
+            }
+            Command::Drain { id } => {
+                if !self.drains.contains(id) {
+                    self.drains.push_back(id.clone());
+                    if self.drains.len() > KEPT_DRAINS
+                        && let Some(old) = self.drains.pop_front()
+                    {
+                        self.changed.remove(&format!("d/{old}"));
+                    }
+                    self.note(format!("d/{id}"));
+                }
+            }
+            Command::Shares { parts } => {
+                self.parts = parts.clone();
+                self.note("s/".to_owned());
+            }
+            Command::Usage { window, counts, holder } => {
+                if self.reports.contains_key(window) {
+                    // What was fixed stays; only the duty changes hands.
+                    self.usage_holder = Some(holder.clone());
+                    return Outcome::Done;
+                }
+                if self.reports.keys().next_back().is_some_and(|w| *w > *window + 3) {
+                    return Outcome::Outrun { current: 0 };
+                }
+                self.reports.insert(*window, Report { counts: counts.clone(), holder: holder.clone() });
+                self.usage_holder = Some(holder.clone());
+                if self.reports.len() > KEPT_REPORTS {
+                    self.reports.pop_first();
+                }
+            }
+            Command::Voters { voters } => self.voters = voters.clone(),
+        }
+        Outcome::Done
+    }
+
+    fn configure(&mut self, if_match: u64, raw: &[u8]) -> Outcome {
+        let digest = crate::process::repair::digest(raw) ^ if_match;
+        if self.accepted.contains(&digest) {
+            return Outcome::Done;
+        }
+        let document = match config::read(raw) {
+            Ok(document) => document,
+            Err(why) => return Outcome::Invalid { why },
+        };
+        let current = self.revision();
+        if if_match != current {
+            return Outcome::Outrun { current };
+        }
+        if document.revision <= current {
+            return Outcome::Invalid { why: format!("revision {} is not above {current}", document.revision) };
+        }
+        self.config = Some(Version { revision: document.revision, raw: raw.to_vec() });
+        self.accepted.push_back(digest);
+        if self.accepted.len() > KEPT_ACCEPTED {
+            self.accepted.pop_front();
+        }
+        self.note("c/".to_owned());
+        Outcome::Done
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn document(revision: u64) -> Vec<u8> {
+        format!(r#"{{"revision":{revision},"routes":[],"backends":[]}}"#).into_bytes()
+    }
+
+    #[test]
+    fn one_of_two_racing_changes_wins_and_a_resend_is_known() {
+        let mut ledger = Ledger::default();
+        let mut put = |if_match, raw: &[u8]| {
+            let index = ledger.index + 1;
+            ledger.apply(index, Mark::default(), &Command::Configure { if_match, raw: raw.to_vec() })
+        };
+        assert_eq!(put(0, &document(3)), Outcome::Done);
+        assert_eq!(put(3, &document(5)), Outcome::Done);
+        assert_eq!(put(3, &document(6)), Outcome::Outrun { current: 5 });
+        assert_eq!(put(0, &document(3)), Outcome::Done, "the exact resend of a taken one");
+        assert!(matches!(put(5, &document(5)), Outcome::Invalid { .. }));
+        assert!(matches!(put(5, b"{"), Outcome::Invalid { .. }));
+        assert_eq!(ledger.revision(), 5);
+    }
+
+    #[test]
+    fn a_repeated_proposal_applies_once() {
+        let mut ledger = Ledger::default();
+        let mark = Mark { proposer: 9, serial: 1 };
+        let first = Command::Crown { service: "s".into(), epoch: 1, primary: "a".into(), term: 1 };
+        assert_eq!(ledger.apply(1, mark, &first), Outcome::Done);
+        assert_eq!(ledger.apply(2, mark, &first), Outcome::Done, "the cached result");
+        assert_eq!(ledger.epochs["s"].epoch, 1);
+        assert_eq!(ledger.apply(3, Mark::default(), &first), Outcome::Outrun { current: 0 });
+    }
+
+    #[test]
+    fn an_open_epoch_is_not_crowned_over() {
+        let mut ledger = Ledger::default();
+        let crown =
+            |epoch, primary: &str, term| Command::Crown { service: "s".into(), epoch, primary: primary.into(), term };
+        ledger.apply(1, Mark::default(), &crown(1, "a", 4));
+        assert_ne!(ledger.apply(2, Mark::default(), &crown(2, "b", 5)), Outcome::Done);
+        ledger.apply(3, Mark::default(), &Command::Close { service: "s".into(), epoch: 1 });
+        assert_ne!(ledger.apply(4, Mark::default(), &crown(2, "b", 3)), Outcome::Done, "an older term");
+        assert_eq!(ledger.apply(5, Mark::default(), &crown(2, "b", 5)), Outcome::Done);
+    }
+}
--- /dev/null
+++ b/queen/src/client.rs
@@ -0,0 +1,97 @@
+//! The operator's client: every call has a bounded time, and exit codes tell what happened.
+
+use comb::http::{self, Answer};
+use std::net::SocketAddrV4;
+use std::process::ExitCode;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+const REDIRECTS: usize = 2;
+/// The service refused the call (4xx); it could not be reached or had no answer (anything else).
+const EXIT_REFUSED: u8 = 3;
+const EXIT_UNREACHED: u8 = 4;
+
+fn call(at: SocketAddrV4, method: &str, path: &str, headers: &[(&str, String)], body: &[u8]) -> Result<Answer, String> {
+    comb::run(|hive| async move {
+        let mut to = at;
+        for _ in 0..=REDIRECTS {
+            let answer = http::call(hive, to, (method, path), headers, body.to_vec(), PATIENCE, || true).await?;
+            let next = answer.location.as_deref().filter(|_| answer.status == 307);
+            let Some(place) = next else { return Ok(answer) };
+            let host = place.strip_prefix("http://").and_then(|p| p.split('/').next()).unwrap_or_default();
+            to = host.parse().map_err(|_| format!("sent on to {place}, which can't be read"))?;
+        }
+        Err("sent on too often".to_owned())
+    })
+}
+
+fn finish(result: Result<Answer, String>, show: impl FnOnce(&str)) -> ExitCode {
+    match result {
+        Ok(answer) => {
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            if (200..300).contains(&answer.status) {
+                show(&text);
+                return ExitCode::SUCCESS;
+            }
+            eprintln!("queen: {} {text}", answer.status);
+            ExitCode::from(if (400..500).contains(&answer.status) { EXIT_REFUSED } else { EXIT_UNREACHED })
+        }
+        Err(why) => {
+            eprintln!("queen: {why}");
+            ExitCode::from(EXIT_UNREACHED)
+        }
+    }
+}
+
+pub fn check(file: &str) -> ExitCode {
+    let checked = std::fs::read(file).map_err(|e| e.to_string()).and_then(|raw| brood::version::config::read(&raw));
+    match checked {
+        Ok(document) => {
+            println!("{file}: good, revision {}", document.revision);
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("queen: {file}: {why}");
+            ExitCode::from(comb::boot::EXIT_SETTINGS)
+        }
+    }
+}
+
+pub fn get(at: SocketAddrV4) -> ExitCode {
+    finish(call(at, "GET", "/api/config", &[], &[]), |text| println!("{text}"))
+}
+
+pub fn put(at: SocketAddrV4, if_match: u64, file: &str) -> ExitCode {
+    let raw = match std::fs::read(file) {
+        Ok(raw) => raw,
+        Err(e) => {
+            eprintln!("queen: {file}: {e}");
+            return ExitCode::from(comb::boot::EXIT_SETTINGS);
+        }
+    };
+    finish(call(at, "PUT", "/api/config", &[("if-match", if_match.to_string())], &raw), |_| println!("taken"))
+}
+
+pub fn status(at: SocketAddrV4, json: bool) -> ExitCode {
+    finish(call(at, "GET", "/api/status", &[], &[]), |text| {
+        if json {
+            return println!("{text}");
+        }
+        let Ok(status) = serde_json::from_str::<serde_json::Value>(text) else { return println!("{text}") };
+        let Some(fields) = status.as_object() else { return println!("{text}") };
+        for (name, value) in fields {
+            match value {
+                serde_json::Value::Array(items) if items.iter().any(serde_json::Value::is_object) => {
+                    println!("{name}:");
+                    items.iter().for_each(|item| println!("  {item}"));
+                }
+                serde_json::Value::Object(items) => {
+                    println!("{name}:");
+                    items.iter().for_each(|(key, item)| println!("  {key}: {item}"));
+                }
+                serde_json::Value::String(text) => println!("{name}: {text}"),
+                other => println!("{name}: {other}"),
+            }
+        }
+    })
+}
