Foragers leave stale parents and ask every queen when the leader is silent

Change: news older than 1.2 s makes a parent a poor one, tried last; without a grant for 0.7 s a forager asks every daemon that keeps the log.

--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -64,6 +64,8 @@
 /// How often leases are asked for, and sooner when something is wrong.
 const ASK: Duration = Duration::from_millis(400);
 const ASK_SOON: Duration = Duration::from_millis(80);
+/// Without an answer for this long, the other daemons that keep the log are asked too.
+const GRANT_PATIENCE: Duration = Duration::from_millis(700);
 /// After a recall, open work on a primary that still answers gets this long.
 const RECALL_GRACE: Duration = Duration::from_millis(250);
 /// Observations of a primary's position are kept this far apart, and this long.
@@ -128,6 +130,11 @@
     usage: BTreeMap<u64, BTreeMap<String, u64>>,
     window: u64,
     leader: Option<Ipv4Addr>,
+    /// The daemons that keep the log; all are asked when the leader does not answer.
+    queens: Vec<Ipv4Addr>,
+    granted_at: Instant,
+    /// The leader as the tree last told it.
+    told_leader: Option<Ipv4Addr>,
     news_at: Option<Instant>,
     ask_due: Instant,
     nonce: u64,
@@ -157,6 +164,9 @@
             usage: BTreeMap::new(),
             window: 0,
             leader: None,
+            queens: Vec::new(),
+            granted_at: now,
+            told_leader: None,
             news_at: None,
             ask_due: now,
             nonce: 0,
@@ -190,11 +200,13 @@
     // ---- news -------------------------------------------------------------------------------
 
     /// How fresh the tree's news is and who leads.
-    pub fn heard_news(&mut self, now: Instant, age: Option<Duration>, leader: Option<Ipv4Addr>) {
+    pub fn heard_news(&mut self, now: Instant, age: Option<Duration>, leader: Option<Ipv4Addr>, queens: Vec<Ipv4Addr>) {
+        self.queens = queens;
         if let Some(at) = age.and_then(|a| now.checked_sub(a)) {
             self.news_at = Some(at);
         }
-        if leader.is_some() && leader != self.leader {
+        if leader.is_some() && leader != self.told_leader {
+            self.told_leader = leader;
             self.leader = leader;
             self.ask_due = now;
         }
@@ -314,7 +326,11 @@
 
     fn ask(&mut self, now: Instant) {
         self.ask_due = now + ASK;
-        let Some(leader) = self.leader else { return };
+        // A leader that does not answer may have been replaced, and only that one's successor grants.
+        let asked: Vec<Ipv4Addr> = match self.leader {
+            Some(leader) if now.duration_since(self.granted_at) < GRANT_PATIENCE => vec![leader],
+            _ => self.queens.clone(),
+        };
         self.nonce += 1;
         self.asked.push_back((self.nonce, now));
         if self.asked.len() > 16 {
@@ -331,7 +347,9 @@
             leaving: self.leaving.is_some(),
         };
         self.peak = 0;
-        self.out.push(Effect::Send(leader, Dance::Ask(ask)));
+        for queen in asked {
+            self.out.push(Effect::Send(queen, Dance::Ask(ask.clone())));
+        }
     }
 
     fn sights(&self, now: Instant) -> Vec<Sight> {
@@ -372,8 +390,10 @@
         self.ask_due = self.ask_due.min(now + ASK_SOON);
     }
 
-    pub fn granted(&mut self, now: Instant, grant: Grant) {
+    pub fn granted(&mut self, now: Instant, from: Ipv4Addr, grant: Grant) {
         let Some((_, asked)) = self.asked.iter().find(|(n, _)| *n == grant.nonce).copied() else { return };
+        self.leader = Some(from);
+        self.granted_at = now;
         let until = asked + grant.span;
         for (service, epoch) in grant.leases {
             let s = self.services.entry(service).or_default();
--- a/brood/src/process/relay.rs
+++ b/brood/src/process/relay.rs
@@ -12,6 +12,10 @@
 /// Pulses go this often; a parent silent for `PATIENCE` is left.
 pub const PULSE: Duration = Duration::from_millis(500);
 const PATIENCE: Duration = Duration::from_millis(1600);
+/// News older than this makes a parent a poor one: an election takes far less.
+const STALE: Duration = Duration::from_millis(1200);
+/// With no better parent anywhere, the next search waits this long.
+const CONTENT: Duration = Duration::from_secs(2);
 const ANSWER: Duration = Duration::from_millis(600);
 const SHUFFLE: Duration = Duration::from_secs(3);
 /// Deeper than this, a daemon looks for a better place.
@@ -34,8 +38,10 @@
     fresh: Option<Instant>,
     leader: Option<Ipv4Addr>,
     children: BTreeMap<Ipv4Addr, (Card, Instant)>,
-    /// Where to try next, nearest first.
+    /// Where to try next, the best last.
     tries: Vec<Ipv4Addr>,
+    /// Nobody had fresh news when asked last: any parent will do until then.
+    content: Option<Instant>,
     seeds: Vec<Ipv4Addr>,
     pulse_due: Instant,
     shuffle_due: Instant,
@@ -55,6 +61,7 @@
             leader: None,
             children: BTreeMap::new(),
             tries: Vec::new(),
+            content: None,
             seeds,
             pulse_due: now,
             shuffle_due: now + SHUFFLE / 3,
@@ -78,6 +85,15 @@
         self.leader
     }
 
+    /// The daemons known to keep the log.
+    pub fn roots(&self) -> Vec<Ipv4Addr> {
+        let mut roots = self.seeds.clone();
+        roots.extend(self.views.cards().iter().filter(|c| c.control.is_some()).map(|c| c.ip));
+        roots.sort_unstable();
+        roots.dedup();
+        roots
+    }
+
     /// How old the newest sign of the leader is.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.fresh.map(|f| now.duration_since(f))
@@ -164,6 +180,9 @@
 
     fn seek(&mut self, now: Instant) {
         if self.tries.is_empty() {
+            if matches!(self.parent, Parent::Asked(..)) && self.content.is_none_or(|until| now >= until) {
+                self.content = Some(now + CONTENT);
+            }
             let me = self.views.me().clone();
             let mut cards: Vec<(u8, Ipv4Addr)> = Vec::new();
             for card in self.views.cards() {
@@ -208,12 +227,16 @@
                 }
             }
             Dance::Welcome { pulse } => {
-                if matches!(self.parent, Parent::Asked(p, _) if p == from) {
+                let asked = matches!(self.parent, Parent::Asked(p, _) if p == from);
+                if asked && (pulse.age < STALE || self.content.is_some_and(|until| now < until)) {
                     self.parent = Parent::Fed(from, now);
                     self.tries.clear();
                     self.hear(now, from, pulse);
                 } else if !matches!(self.parent, Parent::Fed(p, _) if p == from) {
                     self.out.push((from, Dance::Detach));
+                    if asked {
+                        self.seek(now);
+                    }
                 }
             }
             Dance::Full { others } => {
@@ -273,10 +296,16 @@
         let ranges = self.copies.differing(&pulse.digests);
         let versions = self.copies.versions(&ranges);
         self.out.push((from, Dance::Compare { ranges, versions }));
-        if pulse.age > PATIENCE * 2 || self.depth > DEPTH_MAX {
-            // Fed by one that is cut off itself: look elsewhere.
+        let content = self.content.is_some_and(|until| now < until);
+        if (pulse.age > STALE && !content) || self.depth > DEPTH_MAX {
+            // Fed by one that is cut off itself: look elsewhere, there last.
             self.out.push((from, Dance::Detach));
             self.parent = Parent::None;
+            self.seek(now);
+            if matches!(self.parent, Parent::Asked(p, _) if p == from) {
+                self.tries.insert(0, from);
+                self.seek(now);
+            }
         }
     }
 
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -142,7 +142,7 @@
         let rest = self.relay.borrow_mut().receive(now, from, dance);
         self.pass_news(now);
         match rest {
-            Some(Dance::Grant(grant)) => self.field.borrow_mut().granted(now, grant),
+            Some(Dance::Grant(grant)) => self.field.borrow_mut().granted(now, from, grant),
             Some(Dance::Recall { service, epoch }) => self.field.borrow_mut().recalled(now, from, &service, epoch),
             _ => {}
         }
@@ -153,7 +153,7 @@
     fn pass_news(&self, now: Instant) {
         let mut relay = self.relay.borrow_mut();
         let mut field = self.field.borrow_mut();
-        field.heard_news(now, relay.age(now), relay.leader());
+        field.heard_news(now, relay.age(now), relay.leader(), relay.roots());
         let news = relay.news();
         if !news.is_empty() {
             field.learn(now, &news);
