--- a/brood/src/connection/session.rs
+++ b/brood/src/connection/session.rs
@@ -110,6 +110,8 @@
     /// Since when the transaction rests.
     pub rests: Option<Instant>,
     pub turns: u64,
+    /// When its last line came.
+    pub heard: Option<Instant>,
     /// Statements of the current transaction that were sent to an instance.
     pub tx_sent: u32,
 }
@@ -128,6 +130,7 @@
             own: None,
             rests: None,
             turns: 0,
+            heard: None,
             tx_sent: 0,
         }
     }
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -77,6 +77,9 @@
 const OWN_LAG: Duration = Duration::from_millis(120);
 /// News older than this makes the daemon call itself not ready.
 const NEWS_OLD: Duration = Duration::from_millis(4000);
+/// While leaving, a session silent for this long is taken to be at rest: values and names that a
+/// client has just sent are the start of an operation.
+const QUIET: Duration = Duration::from_millis(200);
 /// How many bytes of statements a session may queue.
 const QUEUE_MAX: usize = 2 << 20;
 
@@ -553,17 +556,25 @@
                 Next::Line(line) => self.line(now, sid, &line),
             }
         }
-        if self.leaving.is_some() {
-            self.close_if_at_rest(now, sid);
-        }
     }
 
+    /// While leaving: closes a session that is at rest and not in the middle of readying itself.
     fn close_if_at_rest(&mut self, now: Instant, sid: SessionId) {
-        if self.sessions.get(&sid).is_some_and(|s| s.open && s.at_rest() && s.turns > 0) {
+        let quiet = |s: &Session| s.turns > 0 && s.heard.is_none_or(|at| now.duration_since(at) > QUIET);
+        if self.sessions.get(&sid).is_some_and(|s| s.open && s.at_rest() && quiet(s)) {
             self.drop_session(now, sid, true);
         }
     }
 
+    /// While leaving: closes what has come to rest.
+    pub fn close_resting(&mut self, now: Instant) {
+        let all: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for sid in all {
+            self.close_if_at_rest(now, sid);
+        }
+        self.settle(now);
+    }
+
     fn line(&mut self, now: Instant, sid: SessionId, line: &str) {
         let Some(session) = self.sessions.get_mut(&sid) else { return };
         let (kind, rest) = word(line);
@@ -587,6 +598,7 @@
             }
             "QUERY" if session.open => {
                 session.turns += 1;
+                session.heard = Some(now);
                 session.rests = None;
                 let (id, text) = word(rest);
                 match (id.is_empty(), statement::parse(text)) {
@@ -1335,6 +1347,9 @@
         }
         self.rest(now, sid);
         self.proceed(now, sid);
+        if self.leaving.is_some() && self.sessions.get(&sid).is_some_and(Session::at_rest) {
+            self.drop_session(now, sid, true);
+        }
     }
 
     fn uncount(&mut self, tenant: &str) {
@@ -1741,10 +1756,7 @@
             return;
         }
         self.leaving = Some(now);
-        let all: Vec<SessionId> = self.sessions.keys().copied().collect();
-        for sid in all {
-            self.close_if_at_rest(now, sid);
-        }
+        self.close_resting(now);
         self.ask(now);
     }
 
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -277,8 +277,10 @@
             }
             if spent > grace.mul_f64(GRACE_OPEN) {
                 self.field.borrow_mut().cut_transactions(now);
-                self.perform(now);
+            } else {
+                self.field.borrow_mut().close_resting(now);
             }
+            self.perform(now);
         }
         let now = Instant::now();
         self.relay.borrow_mut().leave();
