Lost answers and last words: retries before the first answer, no silent exits

Cause 1: a lost answer inside a transaction was waited for until the route's deadline, leaving the client no time. The first statement is now retried on another connection (nothing of the transaction was answered, and it is rolled back), later ones fail the transaction after 1.2 aims and at least six times what answers take now. It now keeps its leases, and answers everyone truthfully before it ends.

--- a/brood/src/connection/session.rs
+++ b/brood/src/connection/session.rs
@@ -91,7 +91,8 @@
     pub tried: Vec<String>,
     /// Answers that promised it had not run, so far.
     pub promises: u32,
-    pub lagged: bool,
+    /// It stands in the usage counts.
+    pub counted: bool,
 }
 
 #[derive(Debug)]
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -216,7 +216,7 @@
         let mut leases = Vec::new();
         for (service, epoch) in &scene.ledger.epochs {
             let moving = self.moves.get(service).is_some_and(|m| m.proposed.is_some());
-            if !epoch.closed && !moving && !ask.leaving {
+            if !epoch.closed && !moving {
                 leases.push((service.clone(), epoch.epoch));
             }
         }
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -48,6 +48,11 @@
 /// A read is tried elsewhere after this share of its aim in silence, but not before `HEDGE_FLOOR`.
 const HEDGE: f64 = 0.7;
 const HEDGE_FLOOR: Duration = Duration::from_millis(90);
+/// A transaction's later statement is given up after this share of its aim.
+const BREAK: f64 = 1.2;
+/// Neither happens before this many times what the instance's answers take now, nor more often.
+const HEDGE_PACES: f64 = 6.0;
+const HEDGES: usize = 3;
 /// Pause before a request that met `BUSY` goes out again.
 const BUSY_PAUSE: Duration = Duration::from_millis(12);
 /// Pause before a request whose connection was lost goes out again.
@@ -144,6 +149,7 @@
     asked: VecDeque<(u64, Instant)>,
     peak: u32,
     leaving: Option<Instant>,
+    finished: bool,
     out: Vec<Effect>,
     ready_bees: Vec<String>,
 }
@@ -176,6 +182,7 @@
             asked: VecDeque::new(),
             peak: 0,
             leaving: None,
+            finished: false,
             out: Vec::new(),
             ready_bees: Vec::new(),
         }
@@ -583,6 +590,7 @@
             "CONNECT" if !session.open => {
                 let (database, key) = word(rest);
                 let refusal = match &self.config {
+                    _ if self.finished => Some(("BUSY", "this daemon ends; come back at once, elsewhere")),
                     None => Some(("BUSY", "no configuration yet")),
                     Some(config) => config.admit(database, key).err(),
                 };
@@ -729,7 +737,7 @@
             stage: Stage::Waiting,
             tried: Vec::new(),
             promises: 0,
-            lagged: false,
+            counted: false,
             route,
         });
         if let Tx::Bound { conn, .. } = session.tx {
@@ -1084,16 +1092,20 @@
         };
         c.expect.push_back((Expect::Statement, now));
         c.since = now;
+        let number = op.number;
         op.stage = Stage::Sent(conn, now);
         session.tx_sent += 1;
         self.out.push(Effect::ToInstance(conn, format!("QUERY {} {wait}{text}\r\n", op.id)));
         // A transaction counts once, with its first statement.
-        if matches!(session.tx, Tx::None) || session.tx_sent == 1 {
+        let first = matches!(session.tx, Tx::None) || session.tx_sent == 1;
+        if first && !std::mem::replace(&mut op.counted, true) {
             *self.usage.entry(self.window).or_default().entry(op.tenant.clone()).or_default() += 1;
         }
-        if op.what == What::Read && !matches!(session.tx, Tx::Bound { .. }) {
-            let patience = op.route.target.mul_f64(HEDGE).max(HEDGE_FLOOR);
-            self.timers.push(Reverse((now + patience, Timer::Hedge(sid, op.number))));
+        // A single write or a commit has no second chance, so it gets all the time there is.
+        let lone_write = op.what == What::Write && matches!(session.tx, Tx::None);
+        if op.what != What::Commit && !lone_write {
+            let patience = self.hedge_patience(sid);
+            self.timers.push(Reverse((now + patience, Timer::Hedge(sid, number))));
         }
     }
 
@@ -1293,10 +1305,8 @@
         }
         let first = op.what != What::Commit && answer.state != 'T' && matches!(session.tx, Tx::Bound { .. });
         if let Some(code) = &answer.code {
-            let counted = matches!(session.tx, Tx::None) || session.tx_sent == 1;
-            if counted && (is_promise(code) || code == "UNKNOWN") {
-                let tenant = op.tenant.clone();
-                self.uncount(&tenant);
+            if is_promise(code) || code == "UNKNOWN" {
+                self.uncount(sid);
             }
             let Some(session) = self.sessions.get(&sid) else { return };
             let Some(op) = &session.op else { return };
@@ -1352,8 +1362,12 @@
         }
     }
 
-    fn uncount(&mut self, tenant: &str) {
-        if let Some(n) = self.usage.get_mut(&self.window).and_then(|w| w.get_mut(tenant)) {
+    /// An instance promised that it has not run.
+    fn uncount(&mut self, sid: SessionId) {
+        let Some(op) = self.sessions.get_mut(&sid).and_then(|s| s.op.as_mut()) else { return };
+        if std::mem::take(&mut op.counted)
+            && let Some(n) = self.usage.get_mut(&self.window).and_then(|w| w.get_mut(&op.tenant))
+        {
             *n = n.saturating_sub(1);
         }
     }
@@ -1558,7 +1572,17 @@
         }
         let Use::Busy(sid) = c.usage else { return };
         let Some(session) = self.sessions.get_mut(&sid) else { return };
-        let bound = matches!(session.tx, Tx::Bound { .. });
+        let mut bound = matches!(session.tx, Tx::Bound { .. });
+        if let (Tx::Bound { read, began, route, .. }, 1, Some(op)) = (&session.tx, session.tx_sent, &session.op)
+            && op.what != What::Commit
+            && matches!(op.stage, Stage::Sent(at, _) if at == conn)
+        {
+            // Nothing of the transaction was answered, and the close rolls it back: it begins anew.
+            session.tx = Tx::Lazy { read: *read, began: *began, route: route.clone() };
+            session.tx_sent = 0;
+            bound = false;
+        }
+        let restarted = !bound && !matches!(session.tx, Tx::None);
         let Some(op) = &mut session.op else {
             if bound {
                 // The transaction rested here; it is rolled back by the close.
@@ -1568,7 +1592,7 @@
         };
         match op.stage {
             Stage::Sent(at, _) if at == conn => match op.what {
-                What::Read if !bound => {
+                What::Read | What::Write if restarted || (op.what == What::Read && !bound) => {
                     op.stage = Stage::Waiting;
                     op.tried.push(c.instance.clone());
                     self.retry_later(now, sid, LOST_PAUSE);
@@ -1692,23 +1716,7 @@
                 }
                 self.tell_end(now, sid, &verdict);
             }
-            Timer::Hedge(sid, number) => {
-                let Some(op) = self.op_is(sid, number) else { return };
-                let Stage::Sent(conn, at) = op.stage else { return };
-                let patience = op.route.target.mul_f64(HEDGE).max(HEDGE_FLOOR);
-                if now < at + patience || op.tried.len() >= 3 {
-                    return;
-                }
-                let Some(c) = self.conns.get(&conn) else { return };
-                let id = c.instance.clone();
-                // Only where others heard from it meanwhile, or another instance can take it.
-                self.park(now, conn);
-                if let Some(op) = self.sessions.get_mut(&sid).and_then(|s| s.op.as_mut()) {
-                    op.stage = Stage::Waiting;
-                    op.tried.push(id);
-                }
-                self.dispatch(now, sid);
-            }
+            Timer::Hedge(sid, number) => self.hedge(now, sid, number),
             Timer::Rest(sid, turns) => {
                 let Some(session) = self.sessions.get_mut(&sid) else { return };
                 if session.turns != turns || session.rests.is_none() || session.op.is_some() {
@@ -1739,6 +1747,52 @@
         }
     }
 
+    /// How long an instance may be silent before a request is tried elsewhere: well above what its
+    /// answers take now.
+    fn hedge_patience(&self, sid: SessionId) -> Duration {
+        let Some(session) = self.sessions.get(&sid) else { return HEDGE_FLOOR };
+        let Some(op) = &session.op else { return HEDGE_FLOOR };
+        let (Stage::Sent(conn, _) | Stage::Setup(conn)) = op.stage else { return HEDGE_FLOOR };
+        let pace = self.conns.get(&conn).and_then(|c| self.bees.get(&c.instance)).map_or(0.0, |b| b.pace);
+        let share = if matches!(session.tx, Tx::Bound { .. }) && session.tx_sent > 1 { BREAK } else { HEDGE };
+        op.route.target.mul_f64(share).max(HEDGE_FLOOR).max(Duration::from_secs_f64(pace * HEDGE_PACES / 1000.0))
+    }
+
+    /// The answer is late: a read, or a transaction's first statement, is tried on another
+    /// connection; a later statement of a transaction fails it, so that the client can begin anew.
+    fn hedge(&mut self, now: Instant, sid: SessionId, number: u64) {
+        let Some(op) = self.op_is(sid, number) else { return };
+        let Stage::Sent(conn, at) = op.stage else { return };
+        let patience = self.hedge_patience(sid);
+        if now < at + patience {
+            self.timers.push(Reverse((at + patience, Timer::Hedge(sid, number))));
+            return;
+        }
+        let Some(c) = self.conns.get(&conn) else { return };
+        let id = c.instance.clone();
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let Some(op) = &mut session.op else { return };
+        if op.tried.len() >= HEDGES {
+            return;
+        }
+        if let Tx::Bound { read, began, route, .. } = &session.tx {
+            if session.tx_sent > 1 {
+                if let Some(c) = self.conns.get_mut(&conn) {
+                    c.usage = Use::Parked;
+                }
+                self.lose_conn(now, conn, true);
+                let verdict = Verdict::aborted("the answer was lost; the transaction is rolled back");
+                return self.tell_end(now, sid, &verdict);
+            }
+            session.tx = Tx::Lazy { read: *read, began: *began, route: route.clone() };
+            session.tx_sent = 0;
+        }
+        op.stage = Stage::Waiting;
+        op.tried.push(id);
+        self.park(now, conn);
+        self.dispatch(now, sid);
+    }
+
     fn forget_waiting(&mut self, sid: SessionId) {
         for bee in self.bees.values_mut() {
             bee.waiting.retain(|s| *s != sid);
@@ -1769,6 +1823,32 @@
         self.settle(now);
     }
 
+    /// The end: whoever still waits gets the true state of the request, at once.
+    pub fn finish(&mut self, now: Instant) {
+        self.finished = true;
+        let all: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for sid in all {
+            let Some(session) = self.sessions.get(&sid) else { continue };
+            let bound = matches!(session.tx, Tx::Bound { .. });
+            let verdict = match session.op.as_ref().map(|op| (op.stage, op.what)) {
+                None => None,
+                Some((Stage::Sent(..), What::Commit)) => {
+                    Some(Verdict::unsure("this daemon ends; the commit may stand"))
+                }
+                Some((Stage::Sent(..), What::Write)) if !bound => {
+                    Some(Verdict::unsure("this daemon ends; the write may stand"))
+                }
+                Some(_) if bound => Some(Verdict::aborted("this daemon ends; the transaction is rolled back")),
+                Some(_) => Some(Verdict::busy("this daemon ends; come back at once, elsewhere")),
+            };
+            if let Some(verdict) = verdict {
+                self.tell_end(now, sid, &verdict);
+            }
+            self.drop_session(now, sid, true);
+        }
+        self.settle(now);
+    }
+
     /// Whether nothing is left to do.
     pub fn empty(&self) -> bool {
         self.sessions.values().all(|s| s.at_rest() || !s.open)
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -21,6 +21,8 @@
 /// Share of the grace in which open transactions may end, and in which the process ends.
 const GRACE_OPEN: f64 = 0.5;
 const GRACE_END: f64 = 0.85;
+/// What was written last is on its way before the process ends.
+const LAST_WORDS: Duration = Duration::from_millis(60);
 /// The platform sends new clients for a while after it was told not to.
 const LATECOMERS: Duration = Duration::from_millis(2600);
 
@@ -283,9 +285,10 @@
             self.perform(now);
         }
         let now = Instant::now();
+        self.field.borrow_mut().finish(now);
         self.relay.borrow_mut().leave();
         self.field.borrow_mut().farewell(now);
         self.perform(now);
-        smol::Timer::after(Duration::from_millis(30)).await;
+        smol::Timer::after(LAST_WORDS).await;
     }
 }
