--- /dev/null
+++ b/apiary/src/scenario.rs
@@ -0,0 +1,72 @@
+//! Scenarios as small text files: what the world holds, what happens when, and what must be true.
+
+use crate::world::World;
+use std::time::Duration;
+
+/// Runs a scenario for each of its seeds; tells what was broken, with the seed.
+pub fn run(text: &str) -> Result<(), String> {
+    let mut seeds = 1..=1;
+    let (mut queens, mut foragers, mut clients, mut until) = (3, 3, 6, Duration::from_secs(15));
+    let mut actions = Vec::new();
+    let mut expects = Vec::new();
+    for line in text.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let number = || rest.parse::<usize>().map_err(|e| format!("{line}: {e}"));
+        match word {
+            "seeds" => {
+                let (a, b) = rest.split_once("..").ok_or(format!("{line}: a..b"))?;
+                seeds =
+                    a.parse().map_err(|e| format!("{line}: {e}"))?..=b.parse().map_err(|e| format!("{line}: {e}"))?;
+            }
+            "queens" => queens = number()?,
+            "foragers" => foragers = number()?,
+            "clients" => clients = number()?,
+            "until" => until = seconds(rest)?,
+            "at" => {
+                let (at, action) = rest.split_once(' ').ok_or(format!("{line}: at TIME ACTION"))?;
+                actions.push((seconds(at)?, action.to_owned()));
+            }
+            "expect" => expects.push(rest.to_owned()),
+            other => return Err(format!("no such word: {other}")),
+        }
+    }
+    for seed in seeds {
+        let mut world = World::new(seed, queens, foragers, clients);
+        world.plan(Duration::from_secs(2), "config");
+        for (at, action) in &actions {
+            world.plan(*at, action);
+        }
+        world.run_until(until);
+        world.finish();
+        if let Some(first) = world.judge.broken.first() {
+            return Err(format!("seed {seed}: {first} (and {} more)", world.judge.broken.len() - 1));
+        }
+        for expect in &expects {
+            check(&world, expect).map_err(|why| format!("seed {seed}: expected {expect}, {why}"))?;
+        }
+    }
+    Ok(())
+}
+
+fn seconds(text: &str) -> Result<Duration, String> {
+    text.parse().map(Duration::from_secs_f64).map_err(|e| format!("{text}: {e}"))
+}
+
+fn check(world: &World, expect: &str) -> Result<(), String> {
+    let words: Vec<&str> = expect.split_whitespace().collect();
+    let least: f64 = words.get(1).and_then(|w| w.parse().ok()).unwrap_or(1.0);
+    let found = match words.first().copied().unwrap_or_default() {
+        "served" => world.judge.served as f64 / world.judge.asked.max(1) as f64,
+        "asked" => world.judge.asked as f64,
+        "promotions" => world.judge.promotions as f64,
+        "revision" => world.acked_revision as f64,
+        "refused" => world.refused as f64,
+        "reports" => world.judge.windows_reported() as f64,
+        "voters" => world.voters().len() as f64,
+        "leader" => f64::from(u8::from(world.leader().is_some())),
+        other => return Err(format!("no such measure: {other}")),
+    };
+    let exactly = words.get(2) == Some(&"exactly");
+    let holds = if exactly { found == least } else { found >= least };
+    if holds { Ok(()) } else { Err(format!("found {found}")) }
+}
--- /dev/null
+++ b/apiary/src/world.rs
@@ -0,0 +1,1209 @@
+//! The simulated world: machines, network, disks and time.
+
+use crate::instance::{Instance, Log};
+use crate::judge::{End, Judge};
+use brood::process::dance::Dance;
+use brood::process::duties::Probed;
+use brood::process::field::{self, Field};
+use brood::process::raft::{Entry, Role, Stored, Write};
+use brood::process::relay::Relay;
+use brood::process::royal::{self, Request, Royal};
+use brood::process::settings::Settings;
+use brood::process::views::{Card, Views};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+pub const SERVICE: &str = "svc";
+const SYNC: Duration = Duration::from_millis(2);
+const PROMOTE: Duration = Duration::from_millis(600);
+const WORK: Duration = Duration::from_millis(6);
+const BEAT: Duration = Duration::from_millis(1200);
+/// Time of day at the world's beginning, since 1970.
+const WALL: Duration = Duration::from_secs(1_800_000_000);
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize, u32),
+    Dance(usize, usize, u32, Box<Dance>),
+    Synced(usize, u32, u64),
+    ToInstance(usize, u32, u64, usize, String),
+    FromInstance(usize, u32, u64, usize, Option<String>),
+    Probed(usize, u32, u64, Probed),
+    Called(usize, u32, u64, Option<u16>),
+    Promote(usize),
+    Beat(usize),
+    ToClient(usize, u64, Option<String>),
+    FromClient(u64, Option<String>),
+    Client(usize),
+    Do(String),
+}
+
+pub struct Queen {
+    pub royal: Option<Box<Royal>>,
+    disk: Stored,
+    writes: VecDeque<(u64, Write)>,
+    held: VecDeque<(u64, royal::Effect)>,
+    written: u64,
+    durable: u64,
+    syncing: bool,
+}
+
+pub struct Forager {
+    pub field: Option<Box<Field>>,
+    relay: Option<Box<Relay>>,
+    revision: u64,
+}
+
+enum Kind {
+    Queen(Queen),
+    Forager(Forager),
+}
+
+pub struct Node {
+    kind: Kind,
+    ip: Ipv4Addr,
+    life: u32,
+    pub up: bool,
+    frozen: bool,
+    tick_at: Option<Duration>,
+}
+
+/// A client: one session after another, one operation at a time.
+struct Client {
+    forager: usize,
+    session: Option<u64>,
+    script: VecDeque<(String, String)>,
+    asked: Option<(String, String)>,
+    write_ids: Vec<String>,
+    commit_sent: bool,
+    values: BTreeMap<String, String>,
+    reply: String,
+    tries: u32,
+    route: usize,
+    read_since: Option<Duration>,
+    ops: u64,
+}
+
+pub struct World {
+    pub now: Duration,
+    base: Instant,
+    rng: fastrand::Rng,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: HashMap<u64, Event>,
+    next: u64,
+    pub nodes: Vec<Node>,
+    queens: usize,
+    pub instances: Vec<Instance>,
+    log: Log,
+    cuts: BTreeSet<(usize, usize)>,
+    clients: Vec<Client>,
+    sessions: HashMap<u64, (usize, usize)>,
+    conns: HashMap<(usize, u32, u64), usize>,
+    pub judge: Judge,
+    platform_up: bool,
+    pub revision: u64,
+    pub acked_revision: u64,
+    pub refused: usize,
+    keys: Vec<String>,
+    applied: Vec<u64>,
+    next_session: u64,
+    clients_on: bool,
+    raced: usize,
+}
+
+const ROUTES: [&str; 3] = ["db-primary", "db-bounded", "db-own"];
+const STALE: Duration = Duration::from_millis(1500);
+
+impl World {
+    pub fn new(seed: u64, queens: usize, foragers: usize, clients: usize) -> Self {
+        let mut world = World {
+            now: Duration::ZERO,
+            base: Instant::now() + Duration::from_secs(3600),
+            rng: fastrand::Rng::with_seed(seed),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next: 0,
+            nodes: Vec::new(),
+            queens,
+            instances: Vec::new(),
+            log: Log { term: 1, ..Log::default() },
+            cuts: BTreeSet::new(),
+            clients: Vec::new(),
+            sessions: HashMap::new(),
+            conns: HashMap::new(),
+            judge: Judge::default(),
+            platform_up: true,
+            revision: 0,
+            acked_revision: 0,
+            refused: 0,
+            keys: vec!["key-a".into(), "key-b".into()],
+            applied: Vec::new(),
+            next_session: 1,
+            clients_on: true,
+            raced: 0,
+        };
+        for n in 0..queens + foragers {
+            let ip = Ipv4Addr::new(10, 0, 0, n as u8 + 1);
+            let kind = if n < queens {
+                let id = world.rng.u64(1..);
+                let disk = Stored { id, ..Stored::default() };
+                Kind::Queen(Queen {
+                    royal: None,
+                    disk,
+                    writes: VecDeque::new(),
+                    held: VecDeque::new(),
+                    written: 0,
+                    durable: 0,
+                    syncing: false,
+                })
+            } else {
+                Kind::Forager(Forager { field: None, relay: None, revision: 0 })
+            };
+            world.nodes.push(Node { kind, ip, life: 0, up: false, frozen: false, tick_at: None });
+            world.applied.push(0);
+            world.start(n, true);
+        }
+        for n in 0..3 {
+            world.add_instance(n == 0);
+        }
+        for n in 0..clients {
+            world.clients.push(Client {
+                forager: queens + n % foragers.max(1),
+                session: None,
+                script: VecDeque::new(),
+                asked: None,
+                write_ids: Vec::new(),
+                commit_sent: false,
+                values: BTreeMap::new(),
+                reply: String::new(),
+                tries: 0,
+                route: n % ROUTES.len(),
+                read_since: None,
+                ops: 0,
+            });
+            world.after(Duration::from_secs(4) + Duration::from_millis(13 * n as u64), Event::Client(n));
+        }
+        world
+    }
+
+    fn add_instance(&mut self, primary: bool) {
+        let n = self.instances.len();
+        let instance = Instance::new(format!("i-{}", 1000 + n), SERVICE, format!("z{}", n % 3), primary);
+        self.instances.push(instance);
+        self.after(Duration::from_millis(300 + 50 * n as u64), Event::Beat(n));
+    }
+
+    fn at(&self) -> Instant {
+        self.base + self.now
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((self.now + delay, self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    pub fn plan(&mut self, at: Duration, action: &str) {
+        let delay = at.saturating_sub(self.now);
+        self.after(delay, Event::Do(action.to_owned()));
+    }
+
+    /// Delay of a message: short, with a long tail now and then.
+    fn delay(&mut self) -> Duration {
+        let tail = if self.rng.u32(0..200) == 0 { self.rng.u64(5_000..40_000) } else { 0 };
+        Duration::from_micros(300 + self.rng.u64(0..700) + tail)
+    }
+
+    fn settings(&self, node: usize, bootstrap: bool) -> Settings {
+        let ip = self.nodes[node].ip;
+        let seeds: Vec<String> = (0..self.queens.min(3))
+            .map(|q| format!("\"{}:80\"", self.nodes.get(q).map_or(Ipv4Addr::new(10, 0, 0, q as u8 + 1), |n| n.ip)))
+            .collect();
+        let text = format!(
+            "node-name = \"n{node}\"\nip = \"{ip}\"\nzone = \"z{}\"\ninternal-ports = [7000, 7001]\nseed-nodes = [{}]\nbootstrap = {bootstrap}\nin-quorum = {}\nbeat-ms = 1200\n[listen]\ncontrol = \"{ip}:80\"\n[platform]\naddress = \"10.8.0.1:80\"\n",
+            node % 3,
+            seeds.join(","),
+            node < self.queens
+        );
+        Settings::read(&text).expect("the simulation's own settings")
+    }
+
+    pub fn start(&mut self, n: usize, bootstrap: bool) {
+        if self.nodes[n].up {
+            return;
+        }
+        let settings = self.settings(n, bootstrap);
+        let (now, seed) = (self.at(), self.rng.u64(..));
+        let rng = fastrand::Rng::with_seed(seed);
+        let node = &mut self.nodes[n];
+        node.up = true;
+        node.frozen = false;
+        node.life += 1;
+        node.tick_at = None;
+        match &mut node.kind {
+            Kind::Queen(q) => {
+                q.royal = Some(Box::new(Royal::new(now, &settings, q.disk.clone(), rng)));
+                (q.written, q.durable, q.syncing) = (0, 0, false);
+                self.applied[n] = 0;
+            }
+            Kind::Forager(f) => {
+                let card = Card {
+                    name: settings.node_name.clone(),
+                    ip: settings.ip,
+                    zone: settings.zone.clone(),
+                    control: None,
+                    age: 0,
+                };
+                let seeds = settings.seed_nodes.iter().map(|s| *s.ip()).collect();
+                f.field = Some(Box::new(Field::new(
+                    now,
+                    &settings.node_name,
+                    &settings.zone,
+                    settings.timing_bounds.clone(),
+                    seed,
+                )));
+                f.relay = Some(Box::new(Relay::new(now, Views::new(card, rng), seeds, false)));
+                f.revision = 0;
+            }
+        }
+        self.drain(n);
+    }
+
+    /// The process ends. With `power`, what was not synced is lost, but for a torn part of it.
+    pub fn stop(&mut self, n: usize, power: bool) {
+        let node = &mut self.nodes[n];
+        node.up = false;
+        node.life += 1;
+        let mut keep = usize::MAX;
+        if power {
+            keep = self.rng.usize(0..3);
+        }
+        match &mut node.kind {
+            Kind::Queen(q) => {
+                q.royal = None;
+                let writes: Vec<Write> = q.writes.drain(..).map(|(_, w)| w).take(keep).collect();
+                writes.into_iter().for_each(|w| put(&mut q.disk, w));
+                q.held.clear();
+            }
+            Kind::Forager(f) => {
+                f.field = None;
+                f.relay = None;
+            }
+        }
+        let ended: Vec<(u64, usize)> =
+            self.sessions.iter().filter(|(_, (f, _))| *f == n).map(|(s, (_, c))| (*s, *c)).collect();
+        for (sid, client) in ended {
+            self.after(Duration::from_millis(3), Event::ToClient(client, sid, None));
+        }
+        let conns: Vec<((usize, u32, u64), usize)> =
+            self.conns.iter().filter(|((f, ..), _)| *f == n).map(|(k, i)| (*k, *i)).collect();
+        for (key, instance) in conns {
+            self.conns.remove(&key);
+            self.instances[instance].lines.remove(&line_key(key));
+        }
+    }
+
+    fn wipe(&mut self, n: usize) {
+        let id = self.rng.u64(1..);
+        if let Kind::Queen(q) = &mut self.nodes[n].kind {
+            q.disk = Stored { id, ..Stored::default() };
+        }
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &Node| match &n.kind {
+            Kind::Queen(Queen { royal: Some(r), .. }) if r.raft().role() == Role::Leader => Some(r.raft().term()),
+            _ => None,
+        };
+        self.nodes.iter().enumerate().filter_map(|(at, n)| leads(n).map(|t| (t, at))).max().map(|(_, at)| at)
+    }
+
+    pub fn primary(&self) -> Option<usize> {
+        self.instances
+            .iter()
+            .enumerate()
+            .filter(|(_, i)| i.primary && !i.gone)
+            .max_by_key(|(_, i)| i.term)
+            .map(|(at, _)| at)
+    }
+
+    fn node_of(&self, ip: Ipv4Addr) -> Option<usize> {
+        self.nodes.iter().position(|n| n.ip == ip)
+    }
+
+    // ---- running ----------------------------------------------------------------------------
+
+    pub fn run_until(&mut self, until: Duration) {
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.handle(event);
+            }
+        }
+        self.now = until;
+    }
+
+    fn live(&self, n: usize, life: u32) -> bool {
+        self.nodes[n].up && self.nodes[n].life == life
+    }
+
+    fn handle(&mut self, event: Event) {
+        // A frozen process takes things up when it thaws.
+        let frozen = match &event {
+            Event::Tick(n, _)
+            | Event::Dance(_, n, ..)
+            | Event::Synced(n, ..)
+            | Event::FromInstance(n, ..)
+            | Event::Probed(n, ..)
+            | Event::Called(n, ..) => self.nodes[*n].frozen,
+            Event::FromClient(sid, _) => self.sessions.get(sid).is_some_and(|(n, _)| self.nodes[*n].frozen),
+            _ => false,
+        };
+        if frozen {
+            return self.after(Duration::from_millis(20), event);
+        }
+        let now = self.at();
+        match event {
+            Event::Tick(n, life) => {
+                if self.live(n, life) {
+                    self.nodes[n].tick_at = None;
+                    self.tick(n);
+                }
+            }
+            Event::Dance(from, n, life, dance) => {
+                if self.live(n, life) && !self.cuts.contains(&(from, n)) {
+                    let ip = self.nodes[from].ip;
+                    match &mut self.nodes[n].kind {
+                        Kind::Queen(Queen { royal: Some(royal), .. }) => royal.dance(now, ip, *dance),
+                        Kind::Forager(Forager { field: Some(field), relay: Some(relay), .. }) => {
+                            match relay.receive(now, ip, *dance) {
+                                Some(Dance::Grant(grant)) => field.granted(now, ip, grant),
+                                Some(Dance::Recall { service, epoch }) => field.recalled(now, ip, &service, epoch),
+                                _ => {}
+                            }
+                        }
+                        _ => {}
+                    }
+                    self.drain(n);
+                }
+            }
+            Event::Synced(n, life, number) => {
+                if self.live(n, life)
+                    && let Kind::Queen(q) = &mut self.nodes[n].kind
+                {
+                    while q.writes.front().is_some_and(|(w, _)| *w <= number) {
+                        if let Some((_, write)) = q.writes.pop_front() {
+                            put(&mut q.disk, write);
+                        }
+                    }
+                    q.durable = number;
+                    q.syncing = false;
+                    if let Some(royal) = &mut q.royal {
+                        royal.durable(now, number);
+                    }
+                    self.drain(n);
+                }
+            }
+            Event::ToInstance(n, life, conn, i, text) => self.reach_instance(n, life, conn, i, &text),
+            Event::FromInstance(n, life, conn, i, text) => {
+                if !self.live(n, life) || self.instances[i].dark {
+                    return;
+                }
+                if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
+                    match text {
+                        Some(text) => field.instance_bytes(now, conn, text.as_bytes()),
+                        None => {
+                            self.conns.remove(&(n, life, conn));
+                            field.instance_gone(now, conn);
+                        }
+                    }
+                }
+                self.drain(n);
+            }
+            Event::Probed(n, life, token, result) => {
+                if self.live(n, life) {
+                    if let Kind::Queen(Queen { royal: Some(royal), .. }) = &mut self.nodes[n].kind {
+                        royal.probed(now, token, result);
+                    }
+                    self.drain(n);
+                }
+            }
+            Event::Called(n, life, token, status) => {
+                if self.live(n, life) {
+                    if let Kind::Queen(Queen { royal: Some(royal), .. }) = &mut self.nodes[n].kind {
+                        royal.called(now, token, status);
+                    }
+                    self.drain(n);
+                }
+            }
+            Event::Promote(i) => self.promote(i),
+            Event::Beat(i) => self.beat(i),
+            Event::ToClient(c, sid, text) => self.client_hears(c, sid, text),
+            Event::FromClient(sid, text) => {
+                let Some((n, _)) = self.sessions.get(&sid).copied() else { return };
+                if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
+                    match text {
+                        Some(text) => field.client_bytes(now, sid, text.as_bytes()),
+                        None => field.client_gone(now, sid),
+                    }
+                    self.drain(n);
+                }
+            }
+            Event::Client(c) => self.client_next(c),
+            Event::Do(action) => self.act(&action),
+        }
+    }
+
+    fn tick(&mut self, n: usize) {
+        let now = self.at();
+        let wall = WALL + self.now;
+        match &mut self.nodes[n].kind {
+            Kind::Queen(Queen { royal: Some(royal), .. }) => royal.tick(now, wall),
+            Kind::Forager(Forager { field: Some(field), relay: Some(relay), .. }) => {
+                relay.tick(now);
+                field.tick(now, wall.as_secs() / 5);
+            }
+            _ => {}
+        }
+        self.drain(n);
+    }
+
+    /// Performs a daemon's effects and arms its next tick.
+    fn drain(&mut self, n: usize) {
+        let now = self.at();
+        let life = self.nodes[n].life;
+        let due = match &mut self.nodes[n].kind {
+            Kind::Queen(q) => {
+                let Some(royal) = &mut q.royal else { return };
+                let effects = royal.effects();
+                let due = royal.wake(now);
+                let (role, term) = (royal.raft().role(), royal.raft().term());
+                for effect in effects {
+                    match effect {
+                        royal::Effect::Write(number, write) => {
+                            q.written = number;
+                            q.writes.push_back((number, write));
+                        }
+                        effect => q.held.push_back((q.written, effect)),
+                    }
+                }
+                let mut ready = Vec::new();
+                while q.held.front().is_some_and(|(after, _)| *after <= q.durable) {
+                    ready.extend(q.held.pop_front().map(|(_, e)| e));
+                }
+                let sync = !q.syncing && !q.writes.is_empty();
+                q.syncing |= sync;
+                let written = q.written;
+                if sync {
+                    self.after(SYNC, Event::Synced(n, life, written));
+                }
+                if role == Role::Leader {
+                    self.judge.leads(self.now, term, n);
+                }
+                self.check_applied(n);
+                for effect in ready {
+                    self.royal_effect(n, life, effect);
+                }
+                due
+            }
+            Kind::Forager(f) => {
+                let (Some(field), Some(relay)) = (&mut f.field, &mut f.relay) else { return };
+                field.heard_news(now, relay.age(now), relay.leader(), relay.roots());
+                let news = relay.news();
+                if !news.is_empty() {
+                    field.learn(now, &news);
+                }
+                let mut sends: Vec<(Ipv4Addr, Dance)> = relay.messages();
+                let mut effects = Vec::new();
+                loop {
+                    field.settle(now);
+                    let more = field.effects();
+                    if more.is_empty() {
+                        break;
+                    }
+                    effects.extend(more);
+                }
+                let due = field.next_due().min(relay.next_due());
+                let back = field.revision() < f.revision;
+                f.revision = field.revision();
+                if back {
+                    self.judge.breaks(self.now, format!("CONFIG: n{n} goes back"));
+                }
+                for effect in effects {
+                    match effect {
+                        field::Effect::Send(to, dance) => sends.push((to, dance)),
+                        effect => self.field_effect(n, life, effect),
+                    }
+                }
+                for (to, dance) in sends {
+                    self.post(n, to, dance);
+                }
+                due
+            }
+        };
+        let at = due.saturating_duration_since(self.base).max(self.now + Duration::from_micros(200));
+        if self.nodes[n].tick_at.is_none_or(|t| at < t) {
+            self.nodes[n].tick_at = Some(at);
+            self.after(at - self.now, Event::Tick(n, life));
+        }
+    }
+
+    fn check_applied(&mut self, n: usize) {
+        let Kind::Queen(Queen { royal: Some(royal), .. }) = &self.nodes[n].kind else { return };
+        let (index, from) = (royal.ledger().index, self.applied[n]);
+        let entries: Vec<(u64, Entry)> =
+            (from + 1..=index).filter_map(|i| royal.raft().entry(i).map(|e| (i, e.clone()))).collect();
+        self.applied[n] = index;
+        for (i, entry) in entries {
+            self.judge.applies(self.now, i, &entry);
+        }
+    }
+
+    fn post(&mut self, from: usize, to: Ipv4Addr, dance: Dance) {
+        let Some(n) = self.node_of(to) else { return };
+        if !self.nodes[n].up || self.cuts.contains(&(from, n)) {
+            return;
+        }
+        let (delay, life) = (self.delay(), self.nodes[n].life);
+        self.after(delay, Event::Dance(from, n, life, Box::new(dance)));
+    }
+
+    fn royal_effect(&mut self, n: usize, life: u32, effect: royal::Effect) {
+        match effect {
+            royal::Effect::Send(to, dance) => self.post(n, to, dance),
+            royal::Effect::Reply(token, response) => {
+                if token > 0 && token < 1_000_000 {
+                    match response.status {
+                        200 => self.acked_revision = self.acked_revision.max(token),
+                        400..=499 => self.refused += 1,
+                        _ => {}
+                    }
+                } else if token >= 2_000_000 {
+                    self.raced += usize::from(response.status == 200);
+                }
+            }
+            royal::Effect::Probe { token, instance, text } => {
+                let i = self.instances.iter().position(|i| i.id == instance.id && i.up && !i.dark);
+                let result = match i {
+                    None => Probed::Failed,
+                    Some(i) => {
+                        let key = u64::MAX - token;
+                        let hello = format!("CONNECT {SERVICE} - {}\r\nQUERY - {text}\r\n", instance.id);
+                        self.instances[i].follow(self.now, &self.log);
+                        let (answer, _) = self.instances[i].take(self.now, key, &hello, &mut self.log, &mut self.judge);
+                        self.instances[i].lines.remove(&key);
+                        answer
+                            .split("ROW ")
+                            .nth(1)
+                            .map_or(Probed::Failed, |row| Probed::read(row.split("\r\n").next().unwrap_or_default()))
+                    }
+                };
+                let patience = if i.is_none() { Duration::from_millis(100) } else { Duration::from_millis(3) };
+                self.after(patience, Event::Probed(n, life, token, result));
+            }
+            royal::Effect::Call { token, path, fence, body } => {
+                let status = if !self.platform_up { None } else { Some(self.platform(n, path, fence, &body)) };
+                let patience = if status.is_none() { Duration::from_millis(300) } else { Duration::from_millis(4) };
+                self.after(patience, Event::Called(n, life, token, status));
+            }
+            _ => {}
+        }
+    }
+
+    fn platform(&mut self, n: usize, path: &str, fence: u64, body: &str) -> u16 {
+        let body: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+        let lease = Duration::from_secs(3);
+        if path == "/usage" {
+            self.judge.duty(self.now, "usage", fence, n, lease);
+            let window = body["window-number"].as_u64().unwrap_or(0);
+            self.judge.usage(self.now, window, &body["counts"].to_string());
+            return 200;
+        }
+        self.judge.duty(self.now, "failover", fence, n, lease);
+        match self.instances.iter().position(|i| Some(i.id.as_str()) == body["id"].as_str()) {
+            Some(i) if self.instances[i].up => {
+                if !self.instances[i].primary {
+                    self.after(PROMOTE, Event::Promote(i));
+                }
+                200
+            }
+            _ => 409,
+        }
+    }
+
+    fn promote(&mut self, i: usize) {
+        if !self.instances[i].up || self.instances[i].primary {
+            return;
+        }
+        self.instances[i].follow(self.now, &self.log);
+        let kept = self.instances[i].received;
+        self.log.term += 1;
+        let term = self.log.term;
+        // What the new primary had not received is cut back.
+        self.log.entries.retain(|(_, t, n)| (*t, *n) <= kept);
+        for commit in self.judge.commits.iter_mut().filter(|c| (c.term, c.number) > kept) {
+            commit.cut_back = true;
+        }
+        self.judge.acks.retain(|(_, _, t, n)| (*t, *n) <= kept);
+        self.log.entries.push_back((self.now, term, kept.1));
+        for other in &mut self.instances {
+            if !other.primary {
+                other.received = other.received.min(kept);
+            }
+        }
+        let new = &mut self.instances[i];
+        new.primary = true;
+        new.term = term;
+        new.received = (term, kept.1);
+        self.judge.promotions += 1;
+        self.after(Duration::from_millis(1), Event::Beat(i));
+    }
+
+    fn beat(&mut self, i: usize) {
+        if self.instances[i].gone {
+            return;
+        }
+        if self.instances[i].up && !self.instances[i].dark {
+            let body = self.instances[i].beat(SERVICE);
+            let at: Vec<usize> = (0..self.queens).filter(|q| self.nodes[*q].up && !self.nodes[*q].frozen).collect();
+            if !at.is_empty() {
+                let q = at[self.rng.usize(0..at.len())];
+                let path = format!("/api/instances/{}", self.instances[i].id);
+                self.http(q, 0, "PUT", &path, None, body.into_bytes());
+            }
+        }
+        self.after(BEAT, Event::Beat(i));
+    }
+
+    fn http(&mut self, q: usize, token: u64, method: &str, path: &str, if_match: Option<u64>, body: Vec<u8>) {
+        let now = self.at();
+        let request =
+            Request { method: method.into(), path: path.into(), if_match: if_match.map(|v| v.to_string()), body };
+        if let Kind::Queen(Queen { royal: Some(royal), .. }) = &mut self.nodes[q].kind {
+            royal.request(now, token, request);
+        }
+        self.drain(q);
+    }
+
+    fn field_effect(&mut self, n: usize, life: u32, effect: field::Effect) {
+        match effect {
+            field::Effect::ToClient(sid, text) => {
+                if let Some((_, c)) = self.sessions.get(&sid).copied() {
+                    self.after(Duration::from_millis(2), Event::ToClient(c, sid, Some(text)));
+                }
+            }
+            field::Effect::CloseClient(sid) => {
+                if let Some((_, c)) = self.sessions.get(&sid).copied() {
+                    self.after(Duration::from_millis(2), Event::ToClient(c, sid, None));
+                }
+            }
+            field::Effect::Open(conn, address) => {
+                let i = self.instances.iter().position(|i| i.address() == address.to_string());
+                match i {
+                    Some(i) if self.instances[i].up || self.instances[i].dark => {
+                        self.conns.insert((n, life, conn), i);
+                    }
+                    _ => self.after(Duration::from_millis(1), Event::FromInstance(n, life, conn, 0, None)),
+                }
+            }
+            field::Effect::ToInstance(conn, text) => {
+                if let Some(i) = self.conns.get(&(n, life, conn)).copied() {
+                    let delay = self.delay();
+                    self.after(delay, Event::ToInstance(n, life, conn, i, text));
+                }
+            }
+            field::Effect::CloseInstance(conn) => {
+                if let Some(i) = self.conns.remove(&(n, life, conn)) {
+                    self.instances[i].lines.remove(&line_key((n, life, conn)));
+                }
+            }
+            field::Effect::Send(..) | field::Effect::Note(_) => {}
+        }
+    }
+
+    fn reach_instance(&mut self, n: usize, life: u32, conn: u64, i: usize, text: &str) {
+        if self.conns.get(&(n, life, conn)) != Some(&i) || self.instances[i].dark {
+            return;
+        }
+        if !self.instances[i].up {
+            self.conns.remove(&(n, life, conn));
+            return self.after(Duration::from_millis(1), Event::FromInstance(n, life, conn, i, None));
+        }
+        self.instances[i].follow(self.now, &self.log);
+        let (answer, end) =
+            self.instances[i].take(self.now, line_key((n, life, conn)), text, &mut self.log, &mut self.judge);
+        let lost = self.instances[i].lose && text.contains("QUERY c") && self.rng.u32(0..6) == 0;
+        if !answer.is_empty() && !lost {
+            let delay = WORK + self.delay();
+            self.after(delay, Event::FromInstance(n, life, conn, i, Some(answer)));
+        }
+        if end {
+            self.after(WORK * 2, Event::FromInstance(n, life, conn, i, None));
+        }
+    }
+
+    // ---- clients ----------------------------------------------------------------------------
+
+    fn client_next(&mut self, c: usize) {
+        if !self.clients_on || self.clients[c].session.is_some() || !self.clients[c].script.is_empty() {
+            return;
+        }
+        let up: Vec<usize> = (self.queens..self.nodes.len())
+            .filter(|n| match &self.nodes[*n].kind {
+                Kind::Forager(Forager { field: Some(field), .. }) => field.ready(self.base + self.now),
+                _ => false,
+            })
+            .collect();
+        if up.is_empty() {
+            return self.after(Duration::from_millis(200), Event::Client(c));
+        }
+        let n = up[self.rng.usize(0..up.len())];
+        let sid = self.next_session;
+        self.next_session += 1;
+        self.sessions.insert(sid, (n, c));
+        if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
+            field.accept(sid);
+        }
+        let key = self.keys[c % self.keys.len()].clone();
+        let client = &mut self.clients[c];
+        client.forager = n;
+        client.session = Some(sid);
+        client.values.clear();
+        client.asked = Some((String::new(), "CONNECT".into()));
+        client.reply.clear();
+        let hello = format!("CONNECT {} {key}\r\n", ROUTES[client.route]);
+        self.after(Duration::from_millis(2), Event::FromClient(sid, Some(hello)));
+    }
+
+    fn new_operation(&mut self, c: usize) {
+        let client = &mut self.clients[c];
+        client.ops += 1;
+        client.tries = 0;
+        self.judge.asked += 1;
+        self.new_try(c);
+    }
+
+    fn new_try(&mut self, c: usize) {
+        let (kind, other) = (self.rng.u32(0..5), self.rng.u32(0..3));
+        let ops = self.clients[c].ops;
+        let client = &mut self.clients[c];
+        client.tries += 1;
+        client.write_ids.clear();
+        client.commit_sent = false;
+        client.read_since = None;
+        let bounded = client.route == 1;
+        let mut texts: Vec<String> = Vec::new();
+        if ops % 3 == 1 {
+            texts.push(format!("SET mode{} {ops}", other));
+            texts.push("PREPARE p WRITE shape".into());
+        }
+        match kind {
+            0 | 1 => texts.push("READ thing".into()),
+            2 if !bounded => texts.push("WRITE thing data".into()),
+            3 if !bounded => texts.extend(["BEGIN", "READ thing", "WRITE thing data", "COMMIT"].map(String::from)),
+            4 if !bounded && ops % 3 == 1 => texts.extend(["BEGIN", "RUN p thing data", "COMMIT"].map(String::from)),
+            _ => texts.extend(["BEGIN READ", "READ thing", "READ other", "COMMIT"].map(String::from)),
+        }
+        let tries = client.tries;
+        client.script = texts.into_iter().enumerate().map(|(at, t)| (format!("c{c}-{ops}-{tries}-{at}"), t)).collect();
+        self.ask(c);
+    }
+
+    fn ask(&mut self, c: usize) {
+        let client = &mut self.clients[c];
+        let Some(sid) = client.session else { return };
+        let Some((id, text)) = client.script.pop_front() else {
+            // The operation has succeeded.
+            self.judge.served += 1;
+            for id in self.clients[c].write_ids.clone() {
+                self.judge.ends.insert(id, End::Acked);
+            }
+            self.clients[c].asked = None;
+            let pause = Duration::from_millis(self.rng.u64(20..120));
+            return self.after(pause, Event::ToClient(c, sid, Some(String::new())));
+        };
+        let shape = text.starts_with("RUN").then(|| "WRITE shape".to_owned());
+        if text.starts_with("READ") || text.starts_with("WRITE") || text.starts_with("RUN") {
+            self.judge.expects.insert(id.clone(), (client.values.clone(), shape));
+        }
+        if text.starts_with("BEGIN") || (text.starts_with("READ") && client.read_since.is_none()) {
+            client.read_since = Some(self.now);
+        }
+        client.commit_sent |= text == "COMMIT" || (text.starts_with("WRITE") && client.script.is_empty());
+        client.asked = Some((id.clone(), text.clone()));
+        client.reply.clear();
+        if text.starts_with("WRITE") || text.starts_with("RUN") {
+            client.write_ids.push(id.clone());
+        }
+        self.after(Duration::from_millis(2), Event::FromClient(sid, Some(format!("QUERY {id} {text}\r\n"))));
+    }
+
+    fn client_hears(&mut self, c: usize, sid: u64, text: Option<String>) {
+        if self.clients[c].session != Some(sid) {
+            return;
+        }
+        let Some(text) = text else { return self.client_cut(c, sid) };
+        if text.is_empty() && self.clients[c].asked.is_none() {
+            if self.clients_on {
+                self.new_operation(c);
+            }
+            return;
+        }
+        self.clients[c].reply.push_str(&text);
+        let reply = self.clients[c].reply.clone();
+        let last = reply.trim_end().rsplit("\r\n").next().unwrap_or_default().to_owned();
+        if !last.starts_with("READY") {
+            return;
+        }
+        let Some((id, asked)) = self.clients[c].asked.take() else {
+            return self.judge.breaks(self.now, format!("MIXED: an answer to nothing: {reply:?}"));
+        };
+        if asked == "CONNECT" {
+            self.clients[c].asked = None;
+            return self.new_operation(c);
+        }
+        if let Some(error) = reply.split("ERROR ").nth(1) {
+            let code = word_of(error);
+            return self.client_fails(c, sid, &code);
+        }
+        if let Some(rest) = asked.strip_prefix("SET ")
+            && let Some((name, value)) = rest.split_once(' ')
+        {
+            self.clients[c].values.insert(name.to_owned(), value.to_owned());
+        }
+        if asked.starts_with("READ") {
+            self.check_fresh(c, &id, &reply);
+        }
+        let wrote = asked.starts_with("WRITE") || (asked == "COMMIT" && !self.clients[c].write_ids.is_empty());
+        if wrote && last.starts_with("READY I") {
+            let position = last
+                .split(' ')
+                .nth(2)
+                .and_then(|p| p.split_once('.'))
+                .map(|(t, n)| (t.parse().unwrap_or(0), n.parse().unwrap_or(0)));
+            if let Some((t, n)) = position {
+                // One that was cut back meanwhile is not owed to readers.
+                let cut = self.judge.commits.iter().any(|k| k.term == t && k.number == n && k.cut_back);
+                if !cut {
+                    self.judge.acks.push((self.now, format!("s{sid}"), t, n));
+                }
+            }
+        }
+        self.ask(c);
+    }
+
+    /// STALE: the log read holds every commit that the route owes.
+    fn check_fresh(&mut self, c: usize, id: &str, reply: &str) {
+        let Some(since) = self.clients[c].read_since else { return };
+        let Some(row) = reply.strip_prefix("ROW ").and_then(|r| r.split("\r\n").next()) else { return };
+        let seen: (u64, u64) =
+            row.split_once('.').map(|(t, n)| (t.parse().unwrap_or(0), n.parse().unwrap_or(0))).unwrap_or_default();
+        let route = self.clients[c].route;
+        let me = format!("s{}", self.clients[c].session.unwrap_or(0));
+        let owed = self.judge.acks.iter().filter(|(at, who, ..)| match route {
+            0 => *at < since,
+            1 => *at + STALE < since,
+            _ => *at + STALE < since || (*who == me && *at < since),
+        });
+        let owed = owed.map(|(_, _, t, n)| (*t, *n)).max().unwrap_or_default();
+        if seen < owed {
+            self.judge.breaks(self.now, format!("STALE: {id} on {} saw {seen:?}, owed {owed:?}", ROUTES[route]));
+        }
+    }
+
+    fn client_cut(&mut self, c: usize, sid: u64) {
+        let asked = self.clients[c].asked.take();
+        self.sessions.remove(&sid);
+        self.clients[c].session = None;
+        if asked.is_some_and(|(id, _)| !id.is_empty()) {
+            let end = if self.clients[c].commit_sent { End::Unclear } else { End::Promised };
+            self.note_end(c, end);
+        }
+        self.clients[c].script.clear();
+        let pause = Duration::from_millis(self.rng.u64(10..60));
+        self.after(pause, Event::Client(c));
+    }
+
+    fn note_end(&mut self, c: usize, end: End) {
+        for id in self.clients[c].write_ids.clone() {
+            self.judge.ends.insert(id, end);
+        }
+    }
+
+    fn client_fails(&mut self, c: usize, sid: u64, code: &str) {
+        let promise = brood::request::verdict::is_promise(code);
+        let end = if promise || !self.clients[c].commit_sent { End::Promised } else { End::Unclear };
+        self.note_end(c, end);
+        self.clients[c].script.clear();
+        let again = end == End::Promised && self.clients[c].tries < 3;
+        // A fresh session: the failed try may have left a transaction behind.
+        self.after(Duration::from_millis(1), Event::FromClient(sid, None));
+        self.sessions.remove(&sid);
+        if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[self.clients[c].forager].kind {
+            field.client_gone(self.base + self.now, sid);
+        }
+        self.clients[c].session = None;
+        let pause = Duration::from_millis(if again { 30 } else { 100 });
+        self.after(pause, Event::Client(c));
+    }
+
+    // ---- actions ----------------------------------------------------------------------------
+
+    fn document(&self, revision: u64) -> Vec<u8> {
+        let route = |name: &str, kind: &str, stale: &str| {
+            format!(
+                r#"{{"name":"{name}","hostname":"{name}","path-prefix":"/","type":"{kind}","deadline-ms":800,"target-ms":150,"rank":1,"service":"{SERVICE}"{stale}}}"#
+            )
+        };
+        let stale = r#","stale_ms":1500"#;
+        let keys: Vec<String> =
+            self.keys.iter().enumerate().map(|(n, k)| format!(r#"{{"name":"t{n}","api-keys":["{k}"]}}"#)).collect();
+        format!(
+            r#"{{"revision":{revision},"routes":[{},{},{}],"backends":[{{"name":"{SERVICE}","max-connections":60}}],"limits":{{"tx-rest-ms":3000}},"customers":[{}]}}"#,
+            route(ROUTES[0], "primary", ""),
+            route(ROUTES[1], "bounded", stale),
+            route(ROUTES[2], "own_writes", stale),
+            keys.join(",")
+        )
+        .into_bytes()
+    }
+
+    fn any_queen(&mut self) -> Option<usize> {
+        let up: Vec<usize> = (0..self.queens).filter(|q| self.nodes[*q].up && !self.nodes[*q].frozen).collect();
+        (!up.is_empty()).then(|| up[self.rng.usize(0..up.len())])
+    }
+
+    fn target(&self, who: &str) -> Vec<usize> {
+        match who {
+            "leader" => self.leader().into_iter().collect(),
+            "followers" => (0..self.queens).filter(|q| Some(*q) != self.leader()).collect(),
+            "queens" => (0..self.queens).collect(),
+            "foragers" => (self.queens..self.nodes.len()).collect(),
+            _ => match who.strip_prefix("queen").map(str::parse::<usize>) {
+                Some(Ok(n)) => vec![n],
+                _ => who
+                    .strip_prefix("forager")
+                    .and_then(|n| n.parse::<usize>().ok())
+                    .map(|n| self.queens + n)
+                    .into_iter()
+                    .collect(),
+            },
+        }
+    }
+
+    fn act(&mut self, action: &str) {
+        let words: Vec<&str> = action.split_whitespace().collect();
+        let who = words.get(1).copied().unwrap_or_default();
+        match words.first().copied().unwrap_or_default() {
+            "config" => {
+                self.revision += 2;
+                let revision = self.revision;
+                self.act(&format!("resend {revision}"));
+            }
+            // The operator sends, and sends again after a second of silence.
+            "resend" => {
+                let revision: u64 = who.parse().unwrap_or(0);
+                if self.acked_revision >= revision {
+                    return;
+                }
+                self.plan(self.now + Duration::from_secs(1), &format!("resend {revision}"));
+                if let Some(q) = self.any_queen() {
+                    let body = self.document(revision);
+                    self.http(q, revision, "PUT", "/api/config", Some(revision - 2), body);
+                }
+            }
+            "badconfig" => {
+                for body in [&b"{"[..], br#"{"revision":1,"routes":[],"backends":[]}"#] {
+                    let current = self.revision;
+                    if let Some(q) = self.any_queen() {
+                        self.http(q, 999_999, "PUT", "/api/config", Some(current), body.to_vec());
+                    }
+                }
+            }
+            "race" => {
+                let current = self.revision;
+                for (n, extra) in [(0u64, 1u64), (1, 2)] {
+                    let body = self.document(current + extra);
+                    self.http(n as usize, 2_000_000 + n, "PUT", "/api/config", Some(current), body);
+                }
+                self.revision = current + 2;
+            }
+            "kill" => self.target(who).into_iter().for_each(|n| self.stop(n, false)),
+            "power" => self.target(who).into_iter().for_each(|n| self.stop(n, true)),
+            "wipe" => self.target(who).into_iter().for_each(|n| {
+                self.stop(n, true);
+                self.wipe(n);
+            }),
+            "start" => (0..self.nodes.len()).for_each(|n| self.start(n, false)),
+            "cut" => {
+                let oneway = words.get(2) == Some(&"oneway");
+                for n in self.target(who) {
+                    for other in (0..self.nodes.len()).filter(|o| *o != n) {
+                        self.cuts.insert((n, other));
+                        if !oneway {
+                            self.cuts.insert((other, n));
+                        }
+                    }
+                }
+            }
+            "heal" => self.cuts.clear(),
+            "freeze" => self.target(who).into_iter().for_each(|n| self.nodes[n].frozen = true),
+            "thaw" => self.nodes.iter_mut().for_each(|n| n.frozen = false),
+            "leave" => {
+                let now = self.at();
+                for n in self.target(who) {
+                    if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
+                        field.leave(now);
+                    }
+                    self.drain(n);
+                }
+            }
+            "end" => {
+                let now = self.at();
+                for n in self.target(who) {
+                    if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
+                        field.finish(now);
+                    }
+                    self.drain(n);
+                    self.stop(n, false);
+                }
+            }
+            "crash" | "dark" => {
+                let i = if who == "primary" {
+                    self.primary()
+                } else {
+                    self.instances.iter().position(|i| !i.primary && i.up)
+                };
+                if let Some(i) = i {
+                    if words[0] == "dark" {
+                        self.instances[i].dark = true;
+                    } else {
+                        self.crash(i);
+                    }
+                }
+            }
+            "return" => self.come_back(),
+            "deaf" => self.instances.iter_mut().filter(|i| !i.primary).for_each(|i| i.deaf = true),
+            "hear" => self.instances.iter_mut().for_each(|i| i.deaf = false),
+            "loseanswers" => self.instances.iter_mut().for_each(|i| i.lose = true),
+            "keepanswers" => self.instances.iter_mut().for_each(|i| i.lose = false),
+            "drain" => {
+                self.add_instance(false);
+                if let Some(i) = self.primary() {
+                    self.instances[i].draining = true;
+                    let at = self.instances[i].id.clone();
+                    self.after(Duration::ZERO, Event::Beat(i));
+                    self.plan(self.now + Duration::from_secs(8), &format!("gone {at}"));
+                }
+            }
+            "gone" => {
+                if let Some(i) = self.instances.iter().position(|i| i.id == who) {
+                    self.instances[i].gone = true;
+                    self.crash(i);
+                }
+            }
+            "platform" => self.platform_up = who == "up",
+            "revoke" => {
+                if let Some(key) = self.keys.first_mut() {
+                    *key = format!("{key}-new");
+                }
+                self.act("config");
+            }
+            "rest" => self.clients_on = false,
+            other => panic!("no such action: {other}"),
+        }
+    }
+
+    fn crash(&mut self, i: usize) {
+        self.instances[i].up = false;
+        self.instances[i].lines.clear();
+        let conns: Vec<(usize, u32, u64)> = self.conns.iter().filter(|(_, at)| **at == i).map(|(k, _)| *k).collect();
+        for (n, life, conn) in conns {
+            self.after(Duration::from_millis(1), Event::FromInstance(n, life, conn, i, None));
+        }
+    }
+
+    fn come_back(&mut self) {
+        let term = self.log.term;
+        for i in 0..self.instances.len() {
+            let instance = &mut self.instances[i];
+            if instance.gone {
+                continue;
+            }
+            if !instance.up || instance.dark {
+                instance.up = true;
+                instance.dark = false;
+                if instance.primary && instance.term < term {
+                    instance.primary = false;
+                    instance.term = term;
+                    instance.received = (0, 0);
+                }
+            }
+        }
+    }
+
+    /// After everything has settled: one configuration everywhere, and the newest acknowledged.
+    pub fn finish(&mut self) {
+        self.judge.settle(self.now);
+        if self.raced > 1 {
+            self.judge.breaks(self.now, "CONFIG: both of two racing changes were acknowledged".into());
+        }
+        for n in 0..self.nodes.len() {
+            if !self.nodes[n].up {
+                continue;
+            }
+            let revision = match &self.nodes[n].kind {
+                Kind::Queen(Queen { royal: Some(royal), .. }) => royal.ledger().revision(),
+                Kind::Forager(Forager { field: Some(field), .. }) => field.revision(),
+                _ => continue,
+            };
+            if revision < self.acked_revision {
+                self.judge.breaks(
+                    self.now,
+                    format!("CONFIG: n{n} ends at {revision}, {} was acknowledged", self.acked_revision),
+                );
+            }
+        }
+    }
+
+    pub fn voters(&self) -> Vec<usize> {
+        let Some(leader) = self.leader() else { return Vec::new() };
+        let Kind::Queen(Queen { royal: Some(royal), .. }) = &self.nodes[leader].kind else { return Vec::new() };
+        royal.raft().voters().iter().filter_map(|v| self.node_of(v.ip)).collect()
+    }
+}
+
+fn line_key((n, life, conn): (usize, u32, u64)) -> u64 {
+    ((n as u64) << 48) | (u64::from(life) << 32) | conn
+}
+
+fn word_of(text: &str) -> String {
+    text.split([' ', '\r']).next().unwrap_or_default().to_owned()
+}
+
+/// What a write leaves on the simulated disk.
+fn put(disk: &mut Stored, write: Write) {
+    if let Some((term, vote)) = write.hard {
+        (disk.term, disk.vote) = (term, vote);
+    }
+    if let Some(from) = write.truncate {
+        let keep = from.saturating_sub(disk.snapshot.index + 1) as usize;
+        disk.log.truncate(keep);
+    }
+    if let Some(snapshot) = write.snapshot {
+        let covered = snapshot.index.saturating_sub(disk.snapshot.index) as usize;
+        disk.log.drain(..covered.min(disk.log.len()));
+        disk.snapshot = snapshot;
+    }
+    for (index, entry) in write.entries {
+        let at = (index - disk.snapshot.index - 1) as usize;
+        disk.log.truncate(at);
+        disk.log.push(entry);
+    }
+}
--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -286,6 +286,11 @@
         (self.role == Role::Leader).then_some(self.leading.since).flatten()
     }
 
+    /// The entry at an index, while it is not compacted away.
+    pub fn entry(&self, index: u64) -> Option<&Entry> {
+        self.log.get(index.checked_sub(self.snapshot.index + 1)? as usize)
+    }
+
     fn term_at(&self, index: u64) -> Option<u64> {
         if index == self.snapshot.index {
             return Some(self.snapshot.term);
