--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -98,7 +98,6 @@
     pub sights: Vec<Sight>,
     /// Busy connections lately, over all instances.
     pub demand: u32,
-    pub leaving: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -39,8 +39,9 @@
 /// The old primary is told to step down for this long.
 const STEPDOWN_FOR: Duration = Duration::from_secs(12);
 const STEPDOWN_PAUSE: Duration = Duration::from_millis(500);
-/// A forager that has not asked for this long no longer counts for shares.
-const FORAGER_GONE: Duration = Duration::from_secs(6);
+/// A forager that has not asked for this long no longer counts for shares: long enough for one that is
+/// restarted to find its part untouched, and for a lost one's connections to be gone.
+const FORAGER_GONE: Duration = Duration::from_secs(20);
 const SHARES_PAUSE: Duration = Duration::from_millis(1000);
 /// Share of the usage delay after which a window's counts are taken as whole.
 const USAGE_SETTLE: f64 = 0.35;
@@ -115,7 +116,6 @@
     sights: Vec<Sight>,
     leases: BTreeMap<String, (u64, Instant)>,
     demand: u32,
-    leaving: bool,
 }
 
 /// What the leader keeps in memory; lost with its lead and gathered anew.
@@ -226,13 +226,11 @@
             sights: Vec::new(),
             leases: BTreeMap::new(),
             demand: 0,
-            leaving: false,
         });
         forager.name = ask.node;
         forager.heard = now;
         forager.sights = ask.sights;
         forager.demand = ask.demand;
-        forager.leaving = ask.leaving;
         for (service, epoch) in &leases {
             forager.leases.insert(service.clone(), (*epoch, now + LEASE));
         }
@@ -548,7 +546,7 @@
         let ledger = &scene.ledger.parts;
         let mut parts: BTreeMap<String, u32> = BTreeMap::new();
         for forager in self.foragers.values() {
-            if !forager.leaving && now.duration_since(forager.heard) < FORAGER_GONE {
+            if now.duration_since(forager.heard) < FORAGER_GONE {
                 parts.insert(forager.name.clone(), 1);
             }
         }
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -242,7 +242,10 @@
                     }
                 }
                 Value::Drain { id } => self.drain(now, id),
-                Value::Shares(parts) => self.parts = parts.clone(),
+                Value::Shares(parts) => {
+                    self.parts = parts.clone();
+                    self.shrink(now);
+                }
                 Value::Instance(instance) => self.learn_instance(now, instance),
             }
         }
@@ -354,7 +357,6 @@
             usage: self.usage.clone(),
             sights,
             demand: self.peak,
-            leaving: self.leaving.is_some(),
         };
         self.peak = 0;
         for queen in asked {
@@ -910,6 +912,25 @@
         }
     }
 
+    /// Gives up idle connections beyond the share; busy ones follow as they come free.
+    fn shrink(&mut self, now: Instant) {
+        for id in self.bees.keys().cloned().collect::<Vec<_>>() {
+            while let Some(conn) = self.surplus(&id) {
+                self.lose_conn(now, conn, true);
+            }
+        }
+    }
+
+    /// The longest idle connection of an instance where there are more than the share allows.
+    fn surplus(&self, id: &str) -> Option<ConnId> {
+        let bee = self.bees.get(id)?;
+        if bee.conns.len() <= self.share(&bee.instance.service) {
+            return None;
+        }
+        let idle = bee.conns.iter().filter(|c| self.conns.get(c).is_some_and(|c| c.usage == Use::Idle));
+        idle.min_by_key(|c| self.conns.get(c).map(|c| c.since)).copied()
+    }
+
     /// Takes a connection of the instance for the request, or queues for one.
     fn seat(&mut self, now: Instant, sid: SessionId, id: &str, epoch: Option<u64>) {
         let Some(op) = self.sessions.get(&sid).and_then(|s| s.op.as_ref()) else { return };
@@ -1422,6 +1443,9 @@
     /// in the middle of a change.
     fn serve_waiting(&mut self, now: Instant) {
         while let Some(id) = self.ready_bees.pop() {
+            if let Some(conn) = self.surplus(&id) {
+                self.lose_conn(now, conn, true);
+            }
             while self.serve_one(now, &id) {}
             let Some(bee) = self.bees.get(&id) else { continue };
             let usable = self.usable(now, bee, self.is_primary(&id));
