A request waits a little for its tenant's own connection before one is opened

Tried: waiting 25 ms, a third of the aim, and without end. Without end it is cheapest but requests can starve; a third of the aim (named default) is kept.

--- a/brood/src/connection/session.rs
+++ b/brood/src/connection/session.rs
@@ -93,6 +93,8 @@
     pub promises: u32,
     /// It stands in the usage counts.
     pub counted: bool,
+    /// Since when it waits for a connection.
+    pub queued: Option<Instant>,
 }
 
 #[derive(Debug)]
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -38,6 +38,8 @@
     Hedge(SessionId, u64),
     Rest(SessionId, u64),
     Conn(ConnId, Instant),
+    /// The wait for one of the tenant's own connections has been long enough.
+    Open(SessionId, u64),
     Retry(SessionId, u64),
 }
 
@@ -57,6 +59,10 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(12);
 /// Pause before a request whose connection was lost goes out again.
 const LOST_PAUSE: Duration = Duration::from_millis(5);
+/// Share of its aim that a request waits for one of its tenant's connections before another is opened.
+const OPEN_AFTER: f64 = 0.35;
+/// What opening a connection is taken to cost when instances are compared, in ms.
+const OPEN_COST: f64 = 8.0;
 /// Instances that refused or fell silent are passed over for this long.
 const SHUN: Duration = Duration::from_millis(250);
 /// A connection being opened or readied is given up after this long.
@@ -740,6 +746,7 @@
             tried: Vec::new(),
             promises: 0,
             counted: false,
+            queued: None,
             route,
         });
         if let Tx::Bound { conn, .. } = session.tx {
@@ -870,8 +877,10 @@
             let busy = bee.conns.iter().filter(|c| self.conns.get(c).is_some_and(|c| c.usage != Use::Idle)).count()
                 + bee.waiting.len();
             let distance = if bee.instance.zone == self.zone { 0.0 } else { 4.0 };
+            let idle = |c: &ConnId| self.conns.get(c).is_some_and(|c| c.usage == Use::Idle && c.tenant == op.tenant);
+            let opening = if bee.conns.iter().any(idle) { 0.0 } else { OPEN_COST };
             let slots = f64::from(bee.instance.capacity.max(1));
-            let cost = bee.pace * (1.0 + busy as f64 / slots) + distance + if holds { 0.0 } else { 3.0 };
+            let cost = bee.pace * (1.0 + busy as f64 / slots) + distance + opening + if holds { 0.0 } else { 3.0 };
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, id));
             }
@@ -958,6 +967,12 @@
         {
             bee.waiting.push_back(sid);
         }
+        if let Some(op) = self.sessions.get_mut(&sid).and_then(|s| s.op.as_mut()) {
+            let number = op.number;
+            op.queued.get_or_insert(now);
+            let patience = op.route.target.mul_f64(OPEN_AFTER);
+            self.timers.push(Reverse((now + patience, Timer::Open(sid, number))));
+        }
         let hold = self
             .sessions
             .get(&sid)
@@ -966,7 +981,17 @@
         if let Some((until, number)) = hold {
             self.timers.push(Reverse((until.max(now), Timer::Hold(sid, number))));
         }
-        self.open_for(now, id, &tenant);
+        if self.may_open(now, sid, id) {
+            self.open_for(now, id, &tenant);
+        }
+    }
+
+    /// New connections are dear: a tenant that has some here waits a little for one of them first.
+    fn may_open(&self, now: Instant, sid: SessionId, id: &str) -> bool {
+        let Some(op) = self.sessions.get(&sid).and_then(|s| s.op.as_ref()) else { return false };
+        let Some(bee) = self.bees.get(id) else { return false };
+        let some = bee.conns.iter().any(|c| self.conns.get(c).is_some_and(|c| c.tenant == op.tenant));
+        !some || op.queued.is_some_and(|at| now >= at + op.route.target.mul_f64(OPEN_AFTER))
     }
 
     /// Opens a connection for a tenant's waiting requests where the share allows, in place of another
@@ -1485,7 +1510,9 @@
                     }
                 }
                 None => {
-                    if starved.as_ref().is_none_or(|(r, a, _)| (op.route.rank, op.arrived) < (*r, *a)) {
+                    if self.may_open(now, *sid, id)
+                        && starved.as_ref().is_none_or(|(r, a, _)| (op.route.rank, op.arrived) < (*r, *a))
+                    {
                         starved = Some((op.route.rank, op.arrived, op.tenant.clone()));
                     }
                 }
@@ -1704,6 +1731,14 @@
 
     fn fire(&mut self, now: Instant, timer: Timer) {
         match timer {
+            Timer::Open(sid, number) => {
+                let Some(op) = self.op_is(sid, number).filter(|o| o.stage == Stage::Waiting) else { return };
+                let tenant = op.tenant.clone();
+                let at = self.bees.iter().find(|(_, b)| b.waiting.contains(&sid)).map(|(id, _)| id.clone());
+                if let Some(id) = at.filter(|id| self.may_open(now, sid, id)) {
+                    self.open_for(now, &id, &tenant);
+                }
+            }
             Timer::Retry(sid, number) => {
                 if self.op_is(sid, number).is_some() {
                     self.dispatch(now, sid);
