A replacement sticks to the instance that was named; shorter recall, quicker probes

Cause (found by reading): a call to the platform whose outcome nobody knows could be followed by one that names another instance, so that two take the lead one after the other while foragers work at the first. Now the one named before is preferred, and waited for 1.5 s if it is not seen.

--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -22,7 +22,7 @@
 /// Pause between recalls of the same leases.
 const RECALL_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between probes of one instance.
-const PROBE_PAUSE: Duration = Duration::from_millis(80);
+const PROBE_PAUSE: Duration = Duration::from_millis(40);
 /// Probes that must fail in a row before a silent primary is replaced.
 const PROBE_FAILS: u32 = 2;
 /// Beats missed before an otherwise unseen primary is probed.
@@ -34,6 +34,8 @@
 /// After the platform took the call, the instance has this long to lead.
 const PROMOTE_PATIENCE: Duration = Duration::from_secs(4);
 const CALL_PAUSE: Duration = Duration::from_millis(250);
+/// An instance named before and not seen now is waited for this long.
+const NAMED_PATIENCE: Duration = Duration::from_millis(1500);
 /// An instance the platform would not promote is passed over this long.
 const REFUSED_KEEP: Duration = Duration::from_secs(3);
 /// The old primary is told to step down for this long.
@@ -479,10 +481,19 @@
         if candidates.len() < expected && now < clear + CENSUS {
             return;
         }
-        let Some((best, received)) = candidates.iter().max_by_key(|(i, p)| (*p, i.id.clone())) else { return };
+        let Some(&(mut best, mut received)) = candidates.iter().max_by_key(|(i, p)| (*p, i.id.clone())) else { return };
+        // Whoever was named before may have been asked to take over by a call whose outcome nobody
+        // knows: naming another now could make two of them lead, one after the other.
+        if let Some(named) = epoch.named.as_deref().filter(|n| *n != best.id) {
+            match candidates.iter().find(|(i, _)| i.id == named) {
+                Some((instance, position)) => (best, received) = (*instance, *position),
+                None if now < clear + NAMED_PATIENCE && !work.refused.contains_key(named) => return,
+                None => {}
+            }
+        }
         if old_alive
             && let Some(Probed::Status { received: last, .. }) = fresh.get(epoch.primary.as_str())
-            && received < last
+            && received < *last
             && now < clear + LEVEL_PATIENCE
         {
             return;
@@ -492,7 +503,7 @@
         }
         let named =
             epoch.named.as_deref() == Some(best.id.as_str()) && epoch.holder.as_deref() == Some(self.node.as_str());
-        let best = (*best).clone();
+        let best = best.clone();
         if !named {
             work.proposed = Some(now);
             let holder = self.node.clone();
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -78,7 +78,7 @@
 /// Without an answer for this long, the other daemons that keep the log are asked too.
 const GRANT_PATIENCE: Duration = Duration::from_millis(700);
 /// After a recall, open work on a primary that still answers gets this long.
-const RECALL_GRACE: Duration = Duration::from_millis(250);
+const RECALL_GRACE: Duration = Duration::from_millis(100);
 /// Observations of a primary's position are kept this far apart, and this long.
 const OBSERVE_GAP: Duration = Duration::from_millis(20);
 const OBSERVE_KEEP: Duration = Duration::from_secs(6);
