--- a/apiary/src/scenario.rs
+++ b/apiary/src/scenario.rs
@@ -63,6 +63,7 @@
         "refused" => world.refused as f64,
         "reports" => world.judge.windows_reported() as f64,
         "voters" => world.voters().len() as f64,
+        "epochs" => world.epoch() as f64,
         "leader" => f64::from(u8::from(world.leader().is_some())),
         other => return Err(format!("no such measure: {other}")),
     };
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -192,7 +192,8 @@
         let n = self.instances.len();
         let instance = Instance::new(format!("i-{}", 1000 + n), SERVICE, format!("z{}", n % 3), primary);
         self.instances.push(instance);
-        self.after(Duration::from_millis(300 + 50 * n as u64), Event::Beat(n));
+        let first = Duration::from_millis(self.rng.u64(100..1200));
+        self.after(first, Event::Beat(n));
     }
 
     fn at(&self) -> Instant {
@@ -1172,9 +1173,20 @@
         }
     }
 
+    fn leading(&self) -> Option<&Royal> {
+        match &self.nodes[self.leader()?].kind {
+            Kind::Queen(Queen { royal: Some(royal), .. }) => Some(royal),
+            _ => None,
+        }
+    }
+
+    /// The service's epoch, by the leader's ledger.
+    pub fn epoch(&self) -> u64 {
+        self.leading().and_then(|r| r.ledger().epochs.get(SERVICE)).map_or(0, |e| e.epoch)
+    }
+
     pub fn voters(&self) -> Vec<usize> {
-        let Some(leader) = self.leader() else { return Vec::new() };
-        let Kind::Queen(Queen { royal: Some(royal), .. }) = &self.nodes[leader].kind else { return Vec::new() };
+        let Some(royal) = self.leading() else { return Vec::new() };
         royal.raft().voters().iter().filter_map(|v| self.node_of(v.ip)).collect()
     }
 }
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -361,7 +361,7 @@
     ) -> Option<String> {
         let now = scene.now;
         let instance = scene.registry.get(primary);
-        if scene.ledger.drains.iter().any(|d| d == primary) || instance.is_none_or(|i| i.draining || i.gone) {
+        if scene.ledger.drains.iter().any(|d| d == primary) || instance.is_some_and(|i| i.draining || i.gone) {
             let heir = scene.registry.of_service(service).any(|i| i.id != primary && !i.draining);
             return heir.then(|| "the primary leaves".to_owned());
         }
@@ -384,9 +384,12 @@
             work.seen.clear();
             return None;
         }
-        if let Some(instance) = instance {
-            self.probe(now, service, &instance.clone(), work);
-        }
+        let Some(instance) = instance else {
+            // A queen that has just started knows no instance yet; their beats tell soon.
+            let waited = self.lead.is_some_and(|(_, since)| now.duration_since(since) > self.beat * (BEATS_MISSED + 1));
+            return (waited && healthy == 0).then(|| "it is unknown to everybody".to_owned());
+        };
+        self.probe(now, service, &instance.clone(), work);
         let seen = work.seen.get(primary)?;
         match &seen.result {
             Some(Probed::Status { primary: false, .. }) => Some("it has lost the lead".to_owned()),
