A dark primary is noticed sooner

Now lost answers on a failing primary bring the ask forward, silence counts after 350 ms, a probe takes 250 ms, and one failed probe is enough where three daemons agree and nobody disagrees.

--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -25,6 +25,8 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(40);
 /// Probes that must fail in a row before a silent primary is replaced.
 const PROBE_FAILS: u32 = 2;
+/// This many daemons that agree, with nobody against, make one failed probe enough.
+const AGREED: u32 = 3;
 /// Beats missed before an otherwise unseen primary is probed.
 const BEATS_MISSED: u32 = 3;
 /// Waiting for a live old primary's last commits to reach a replica.
@@ -394,7 +396,9 @@
         match &seen.result {
             Some(Probed::Status { primary: false, .. }) => Some("it has lost the lead".to_owned()),
             Some(Probed::Failed)
-                if seen.fails >= PROBE_FAILS && (failing > healthy || healthy == 0) && (failing >= 2 || silent) =>
+                if (seen.fails >= PROBE_FAILS || (seen.fails > 0 && failing >= AGREED && healthy == 0))
+                    && (failing > healthy || healthy == 0)
+                    && (failing >= 2 || silent) =>
             {
                 Some(format!("{failing} daemons and this one cannot reach it, {healthy} can"))
             }
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -71,7 +71,7 @@
 /// An answer given up on is waited for this long before its connection is closed.
 const PARK_PATIENCE: Duration = Duration::from_millis(2500);
 /// An instance with requests outstanding that says nothing for this long is failing.
-const SILENCE: Duration = Duration::from_millis(450);
+const SILENCE: Duration = Duration::from_millis(350);
 /// How often leases are asked for, and sooner when something is wrong.
 const ASK: Duration = Duration::from_millis(400);
 const ASK_SOON: Duration = Duration::from_millis(80);
@@ -1829,6 +1829,9 @@
         }
         let Some(c) = self.conns.get(&conn) else { return };
         let id = c.instance.clone();
+        if self.is_primary(&id) && self.bees.get(&id).is_some_and(|b| self.failing(now, b)) {
+            self.ask_soon(now);
+        }
         let Some(session) = self.sessions.get_mut(&sid) else { return };
         let Some(op) = &mut session.op else { return };
         if op.tried.len() >= HEDGES {
--- a/queen/src/drive.rs
+++ b/queen/src/drive.rs
@@ -20,7 +20,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 /// Probes of instances and calls to the platform take this long at most.
-const PROBE: Duration = Duration::from_millis(350);
+const PROBE: Duration = Duration::from_millis(250);
 const CALL: Duration = Duration::from_millis(2000);
 /// After SIGTERM, calls under way get this long.
 const FAREWELL: Duration = Duration::from_millis(150);
