The electorate goes through the log, so that every founder votes

Also votes wait for disks, which heartbeats do not, so the candidate's timer now adds two measured syncs, late votes of the same term still count, and every failed candidacy backs off. Ruled out: split votes (the trace shows the other daemon a follower without a vote). Tests: founder_missed_greetings (fails without), slow_disks.

--- a/apiary/src/scenario.rs
+++ b/apiary/src/scenario.rs
@@ -7,6 +7,7 @@
 pub fn run(text: &str) -> Result<(), String> {
     let mut seeds = 1..=1;
     let (mut queens, mut foragers, mut clients, mut until) = (3, 3, 6, Duration::from_secs(15));
+    let mut sync = Duration::from_millis(2);
     let mut actions = Vec::new();
     let mut expects = Vec::new();
     for line in text.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
@@ -21,6 +22,7 @@
             "queens" => queens = number()?,
             "foragers" => foragers = number()?,
             "clients" => clients = number()?,
+            "sync" => sync = seconds(rest)?,
             "until" => until = seconds(rest)?,
             "at" => {
                 let (at, action) = rest.split_once(' ').ok_or(format!("{line}: at TIME ACTION"))?;
@@ -32,6 +34,7 @@
     }
     for seed in seeds {
         let mut world = World::new(seed, queens, foragers, clients);
+        world.sync = sync;
         world.plan(Duration::from_secs(2), "config");
         for (at, action) in &actions {
             world.plan(*at, action);
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -16,7 +16,6 @@
 use std::time::{Duration, Instant};
 
 pub const SERVICE: &str = "svc";
-const SYNC: Duration = Duration::from_millis(2);
 const PROMOTE: Duration = Duration::from_millis(600);
 const WORK: Duration = Duration::from_millis(6);
 const BEAT: Duration = Duration::from_millis(1200);
@@ -111,6 +110,8 @@
     next_session: u64,
     clients_on: bool,
     raced: usize,
+    /// What a sync of a disk takes.
+    pub sync: Duration,
 }
 
 const ROUTES: [&str; 3] = ["db-primary", "db-bounded", "db-own"];
@@ -143,6 +144,7 @@
             next_session: 1,
             clients_on: true,
             raced: 0,
+            sync: Duration::from_millis(2),
         };
         for n in 0..queens + foragers {
             let ip = Ipv4Addr::new(10, 0, 0, n as u8 + 1);
@@ -502,7 +504,7 @@
                 q.syncing |= sync;
                 let written = q.written;
                 if sync {
-                    self.after(SYNC, Event::Synced(n, life, written));
+                    self.after(self.sync, Event::Synced(n, life, written));
                 }
                 if role == Role::Leader {
                     self.judge.leads(self.now, term, n);
@@ -1053,6 +1055,13 @@
                     }
                 }
             }
+            "lose" => {
+                for (from, to) in
+                    self.target(who).into_iter().zip(self.target(words.get(2).copied().unwrap_or_default()))
+                {
+                    self.cuts.insert((from, to));
+                }
+            }
             "heal" => self.cuts.clear(),
             "freeze" => self.target(who).into_iter().for_each(|n| self.nodes[n].frozen = true),
             "thaw" => self.nodes.iter_mut().for_each(|n| n.frozen = false),
--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -133,7 +133,7 @@
 /// Broadcast times kept for the candidate's timer, and its bounds.
 const SAMPLES: usize = 64;
 const CANDIDATE_FLOOR: Duration = Duration::from_millis(20);
-/// Up to 2^this times the candidate timer after rejections by a majority.
+/// Up to 2^this times the candidate timer after candidacies that failed.
 const BACKOFF_MAX: u32 = 4;
 /// Entries in one message, and its rough size.
 const BATCH_ENTRIES: usize = 64;
@@ -184,11 +184,16 @@
     leader: Option<Voter>,
     due: Instant,
     heard_leader: Option<Instant>,
+    pre_votes: BTreeSet<VoterId>,
+    /// Votes for this daemon in the current term, also those that come after the candidate's timer.
     votes: BTreeSet<VoterId>,
-    rejections: BTreeSet<VoterId>,
     backoff: u32,
     election_began: Instant,
     broadcast: VecDeque<Duration>,
+    /// How long writes took to be durable, lately; and when those under way began.
+    syncs: VecDeque<Duration>,
+    sync_began: VecDeque<(u64, Instant)>,
+    clock: Instant,
     /// How long elections took that this daemon won.
     pub elections: Vec<Duration>,
     leading: Leading,
@@ -196,6 +201,16 @@
     out: Vec<Effect>,
 }
 
+/// µ + 2σ. Tails are long, so the median and the median deviation stand in for mean and deviation.
+fn bound(samples: &VecDeque<Duration>) -> Duration {
+    let mut sorted: Vec<Duration> = samples.iter().copied().collect();
+    sorted.sort_unstable();
+    let Some(&median) = sorted.get(sorted.len() / 2) else { return Duration::ZERO };
+    let mut apart: Vec<Duration> = sorted.iter().map(|d| d.abs_diff(median)).collect();
+    apart.sort_unstable();
+    median + 2 * apart[apart.len() / 2].mul_f64(1.4826)
+}
+
 fn jitter(rng: &mut fastrand::Rng, base: Duration) -> Duration {
     base + base.mul_f64(rng.f64())
 }
@@ -221,11 +236,14 @@
             leader: None,
             due,
             heard_leader: None,
+            pre_votes: BTreeSet::new(),
             votes: BTreeSet::new(),
-            rejections: BTreeSet::new(),
             backoff: 0,
             election_began: now,
             broadcast: VecDeque::new(),
+            syncs: VecDeque::new(),
+            sync_began: VecDeque::new(),
+            clock: now,
             elections: Vec::new(),
             leading: Leading::default(),
             rng,
@@ -306,11 +324,19 @@
     fn write(&mut self, write: Write) {
         self.writes += 1;
         self.writing.push_back((self.writes, self.last_index()));
+        self.sync_began.push_back((self.writes, self.clock));
         self.out.push(Effect::Write(self.writes, write));
     }
 
+    /// Term and vote; where they were just queued in the same turn, that write is changed instead.
     fn write_hard(&mut self) {
         let hard = Some((self.term, self.vote));
+        if let Some(Effect::Write(_, last)) = self.out.last_mut()
+            && last.hard.is_some()
+        {
+            last.hard = hard;
+            return;
+        }
         self.write(Write { hard, ..Write::default() });
     }
 
@@ -328,6 +354,7 @@
     }
 
     pub fn tick(&mut self, now: Instant) {
+        self.clock = now;
         if self.role == Role::Leader {
             if self.leading.beat_due.is_none_or(|d| now >= d) {
                 self.check_quorum(now);
@@ -353,33 +380,28 @@
             }
             Role::PreCandidate => self.ask_pre_votes(now),
             Role::Candidate => {
-                if self.rejections.len() * 2 > self.voters().len() {
-                    self.backoff = (self.backoff + 1).min(BACKOFF_MAX);
-                }
+                // Rejected by a majority, or without an answer from one: either way others need time.
+                self.backoff = (self.backoff + 1).min(BACKOFF_MAX);
                 self.ask_pre_votes(now);
             }
             Role::Leader => {}
         }
     }
 
-    /// The candidate's timer: at least µ + 2σ of the broadcast times measured here. Tails are long,
-    /// so the median and the median deviation stand in for mean and deviation.
+    /// The candidate's timer: at least µ + 2σ of the broadcast times measured here. A vote waits for
+    /// the disk twice, at the candidate and at the voter, which heartbeats do not, so two writes are
+    /// added, measured alike.
     pub fn candidate_timeout(&self) -> Duration {
-        let floor = if self.broadcast.is_empty() { self.timing.t } else { CANDIDATE_FLOOR };
-        let mut sorted: Vec<Duration> = self.broadcast.iter().copied().collect();
-        sorted.sort_unstable();
-        let Some(&median) = sorted.get(sorted.len() / 2) else { return floor };
-        let mut apart: Vec<Duration> = sorted.iter().map(|d| d.abs_diff(median)).collect();
-        apart.sort_unstable();
-        let sigma = apart[apart.len() / 2].mul_f64(1.4826);
-        (median + 2 * sigma).max(floor).min(self.timing.t * 2)
+        if self.broadcast.is_empty() && self.syncs.is_empty() {
+            return self.timing.t;
+        }
+        let measured = bound(&self.broadcast) + 2 * bound(&self.syncs);
+        measured.max(CANDIDATE_FLOOR).min(self.timing.t * 2)
     }
 
     fn arm_candidate(&mut self, now: Instant) {
         let base = self.candidate_timeout() * 2u32.pow(self.backoff);
         self.due = now + jitter(&mut self.rng, base);
-        self.votes = BTreeSet::from([self.me.id]);
-        self.rejections.clear();
     }
 
     fn others(&self) -> Vec<Voter> {
@@ -394,11 +416,12 @@
     fn ask_pre_votes(&mut self, now: Instant) {
         self.role = Role::PreCandidate;
         self.arm_candidate(now);
+        self.pre_votes = BTreeSet::from([self.me.id]);
         let (last_index, last_term) = (self.last_index(), self.last_term());
         for peer in self.others() {
             self.send(peer, Body::PreVote { last_index, last_term });
         }
-        if self.has_majority(&self.votes) {
+        if self.has_majority(&self.pre_votes) {
             self.stand(now);
         }
     }
@@ -407,6 +430,7 @@
         self.role = Role::Candidate;
         self.term += 1;
         self.vote = Some(self.me.id);
+        self.votes = BTreeSet::from([self.me.id]);
         self.write_hard();
         self.arm_candidate(now);
         let (last_index, last_term) = (self.last_index(), self.last_term());
@@ -427,7 +451,11 @@
         for peer in self.others() {
             self.add_peer(peer, next);
         }
-        self.append(now, Mark::default(), Command::Noop);
+        // The electorate goes through the log too, so that a voter which missed some of the founders'
+        // greetings learns of it from the others.
+        let founding = self.last_voters_index() == 0 && self.snapshot.index == 0;
+        let first = if founding { Command::Voters { voters: self.voters() } } else { Command::Noop };
+        self.append(now, Mark::default(), first);
     }
 
     fn add_peer(&mut self, peer: Voter, next: u64) {
@@ -439,6 +467,7 @@
         if term > self.term {
             self.term = term;
             self.vote = None;
+            self.votes.clear();
             self.write_hard();
         }
         if self.role == Role::Leader {
@@ -453,6 +482,7 @@
 
     /// Takes a proposal; only a leader does.
     pub fn propose(&mut self, now: Instant, mark: Mark, command: Command) -> Option<u64> {
+        self.clock = now;
         if self.role != Role::Leader {
             return None;
         }
@@ -649,6 +679,17 @@
 
     /// A write is on disk.
     pub fn durable(&mut self, now: Instant, write: u64) {
+        self.clock = now;
+        while let Some((number, began)) = self.sync_began.front().copied() {
+            if number > write {
+                break;
+            }
+            self.sync_began.pop_front();
+            self.syncs.push_back(now.duration_since(began));
+            if self.syncs.len() > SAMPLES {
+                self.syncs.pop_front();
+            }
+        }
         while let Some((number, last)) = self.writing.front().copied() {
             if number > write {
                 break;
@@ -667,6 +708,7 @@
     }
 
     pub fn receive(&mut self, now: Instant, message: Message) {
+        self.clock = now;
         let Message { from, to, term, body } = message;
         if to != self.me.id && !matches!(body, Body::Join { .. }) {
             return;
@@ -684,8 +726,8 @@
                 if term > self.term {
                     self.follow(now, term, None);
                 } else if self.role == Role::PreCandidate && granted {
-                    self.votes.insert(from.id);
-                    if self.has_majority(&self.votes) {
+                    self.pre_votes.insert(from.id);
+                    if self.has_majority(&self.pre_votes) {
                         self.stand(now);
                     }
                 }
@@ -719,7 +761,8 @@
                 self.send(from, Body::Vote { granted });
             }
             Body::Vote { granted } => {
-                if self.role != Role::Candidate || term != self.term {
+                let stood = self.vote == Some(self.me.id) && self.votes.contains(&self.me.id);
+                if !matches!(self.role, Role::Candidate | Role::PreCandidate) || term != self.term || !stood {
                     return;
                 }
                 if granted {
@@ -727,8 +770,6 @@
                     if self.has_majority(&self.votes) {
                         self.lead(now);
                     }
-                } else {
-                    self.rejections.insert(from.id);
                 }
             }
             Body::AppendEntries { round, prev_index, prev_term, entries, commit } => {
