--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -1065,23 +1065,16 @@
             "heal" => self.cuts.clear(),
             "freeze" => self.target(who).into_iter().for_each(|n| self.nodes[n].frozen = true),
             "thaw" => self.nodes.iter_mut().for_each(|n| n.frozen = false),
-            "leave" => {
-                let now = self.at();
+            "leave" | "end" => {
+                let (now, ends) = (self.at(), words[0] == "end");
                 for n in self.target(who) {
                     if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
-                        field.leave(now);
+                        if ends { field.finish(now) } else { field.leave(now) }
                     }
                     self.drain(n);
-                }
-            }
-            "end" => {
-                let now = self.at();
-                for n in self.target(who) {
-                    if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
-                        field.finish(now);
+                    if ends {
+                        self.stop(n, false);
                     }
-                    self.drain(n);
-                    self.stop(n, false);
                 }
             }
             "crash" | "dark" => {
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -1286,10 +1286,7 @@
         if lagging && !in_tx {
             self.free(now, conn);
         } else {
-            if let Some(c) = self.conns.get_mut(&conn) {
-                c.usage = Use::Parked;
-            }
-            self.lose_conn(now, conn, true);
+            self.discard(now, conn);
         }
         self.turned_away(now, sid, &id, &code);
     }
@@ -1597,6 +1594,14 @@
         }
     }
 
+    /// Ends a connection whose session is settled by the caller.
+    fn discard(&mut self, now: Instant, conn: ConnId) {
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.usage = Use::Parked;
+        }
+        self.lose_conn(now, conn, true);
+    }
+
     /// Ends a connection and settles whatever was on it.
     fn lose_conn(&mut self, now: Instant, conn: ConnId, close: bool) {
         let Some(c) = self.conns.remove(&conn) else { return };
@@ -1768,9 +1773,8 @@
                 if let Stage::Setup(conn) | Stage::Sent(conn, _) = stage {
                     if verdict.may_have_run() || !in_tx {
                         self.park(now, conn);
-                    } else if let Some(c) = self.conns.get_mut(&conn) {
-                        c.usage = Use::Parked;
-                        self.lose_conn(now, conn, true);
+                    } else {
+                        self.discard(now, conn);
                     }
                 }
                 self.tell_end(now, sid, &verdict);
@@ -1839,10 +1843,7 @@
         }
         if let Tx::Bound { read, began, route, .. } = &session.tx {
             if session.tx_sent > 1 {
-                if let Some(c) = self.conns.get_mut(&conn) {
-                    c.usage = Use::Parked;
-                }
-                self.lose_conn(now, conn, true);
+                self.discard(now, conn);
                 let verdict = Verdict::aborted("the answer was lost; the transaction is rolled back");
                 return self.tell_end(now, sid, &verdict);
             }
@@ -1916,10 +1917,6 @@
         self.sessions.values().all(|s| s.at_rest() || !s.open)
     }
 
-    pub fn sessions(&self) -> usize {
-        self.sessions.len()
-    }
-
     /// The last words to the leader: what ran here.
     pub fn farewell(&mut self, now: Instant) {
         self.ask(now);
--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -201,6 +201,14 @@
     out: Vec<Effect>,
 }
 
+/// Adds a sample and lets the oldest go.
+fn keep(samples: &mut VecDeque<Duration>, sample: Duration) {
+    samples.push_back(sample);
+    if samples.len() > SAMPLES {
+        samples.pop_front();
+    }
+}
+
 /// µ + 2σ. Tails are long, so the median and the median deviation stand in for mean and deviation.
 fn bound(samples: &VecDeque<Duration>) -> Duration {
     let mut sorted: Vec<Duration> = samples.iter().copied().collect();
@@ -617,10 +625,7 @@
         if let Some((_, began)) = self.leading.rounds.iter().find(|(r, _)| *r == round) {
             let began = *began;
             self.leading.confirmed = Some(began);
-            self.broadcast.push_back(now.duration_since(began));
-            if self.broadcast.len() > SAMPLES {
-                self.broadcast.pop_front();
-            }
+            keep(&mut self.broadcast, now.duration_since(began));
         }
         self.leading.rounds.retain(|(r, _)| *r > round);
         self.settle_reads();
@@ -685,10 +690,7 @@
                 break;
             }
             self.sync_began.pop_front();
-            self.syncs.push_back(now.duration_since(began));
-            if self.syncs.len() > SAMPLES {
-                self.syncs.pop_front();
-            }
+            keep(&mut self.syncs, now.duration_since(began));
         }
         while let Some((number, last)) = self.writing.front().copied() {
             if number > write {
--- a/brood/src/process/relay.rs
+++ b/brood/src/process/relay.rs
@@ -178,9 +178,14 @@
         self.pulse_due.min(parent).min(self.shuffle_due)
     }
 
+    /// Whether any parent will do for now.
+    fn contented(&self, now: Instant) -> bool {
+        self.content.is_some_and(|until| now < until)
+    }
+
     fn seek(&mut self, now: Instant) {
         if self.tries.is_empty() {
-            if matches!(self.parent, Parent::Asked(..)) && self.content.is_none_or(|until| now >= until) {
+            if matches!(self.parent, Parent::Asked(..)) && !self.contented(now) {
                 self.content = Some(now + CONTENT);
             }
             let me = self.views.me().clone();
@@ -228,7 +233,7 @@
             }
             Dance::Welcome { pulse } => {
                 let asked = matches!(self.parent, Parent::Asked(p, _) if p == from);
-                if asked && (pulse.age < STALE || self.content.is_some_and(|until| now < until)) {
+                if asked && (pulse.age < STALE || self.contented(now)) {
                     self.parent = Parent::Fed(from, now);
                     self.tries.clear();
                     self.hear(now, from, pulse);
@@ -296,8 +301,7 @@
         let ranges = self.copies.differing(&pulse.digests);
         let versions = self.copies.versions(&ranges);
         self.out.push((from, Dance::Compare { ranges, versions }));
-        let content = self.content.is_some_and(|until| now < until);
-        if (pulse.age > STALE && !content) || self.depth > DEPTH_MAX {
+        if (pulse.age > STALE && !self.contented(now)) || self.depth > DEPTH_MAX {
             // Fed by one that is cut off itself: look elsewhere, there last.
             self.out.push((from, Dance::Detach));
             self.parent = Parent::None;
--- a/brood/src/process/repair.rs
+++ b/brood/src/process/repair.rs
@@ -80,10 +80,6 @@
         self.facts.remove(key);
     }
 
-    pub fn all(&self) -> impl Iterator<Item = &Fact> {
-        self.facts.values()
-    }
-
     pub fn digests(&self) -> Digests {
         let mut digests = [0; RANGES];
         for fact in self.facts.values() {
