The electorate outgrows the seeds, and commits are on more disks than may be lost

Ruled out: the store (it read back whole once a quorum was there). Now newcomers are learners until caught up, sizes stay odd, a voter silent 1.5 s gives way to one that stands ready, a retired one learns so and comes back as a learner, and an entry counts as committed on a majority and on more than tolerance.machines disks.

--- a/apiary/src/scenario.rs
+++ b/apiary/src/scenario.rs
@@ -1,12 +1,13 @@
 //! Scenarios as small text files: what the world holds, what happens when, and what must be true.
 
-use crate::world::World;
+use crate::world::{Size, World};
 use std::time::Duration;
 
 /// Runs a scenario for each of its seeds; tells what was broken, with the seed.
 pub fn run(text: &str) -> Result<(), String> {
     let mut seeds = 1..=1;
-    let (mut queens, mut foragers, mut clients, mut until) = (3, 3, 6, Duration::from_secs(15));
+    let mut size = Size { queens: 3, spare: 0, foragers: 3, clients: 6, tolerance: 1 };
+    let mut until = Duration::from_secs(15);
     let mut sync = Duration::from_millis(2);
     let mut actions = Vec::new();
     let mut expects = Vec::new();
@@ -19,9 +20,11 @@
                 seeds =
                     a.parse().map_err(|e| format!("{line}: {e}"))?..=b.parse().map_err(|e| format!("{line}: {e}"))?;
             }
-            "queens" => queens = number()?,
-            "foragers" => foragers = number()?,
-            "clients" => clients = number()?,
+            "queens" => size.queens = number()?,
+            "spare" => size.spare = number()?,
+            "foragers" => size.foragers = number()?,
+            "clients" => size.clients = number()?,
+            "tolerance" => size.tolerance = number()?,
             "sync" => sync = seconds(rest)?,
             "until" => until = seconds(rest)?,
             "at" => {
@@ -33,7 +36,7 @@
         }
     }
     for seed in seeds {
-        let mut world = World::new(seed, queens, foragers, clients);
+        let mut world = World::new(seed, size);
         world.sync = sync;
         world.plan(Duration::from_secs(2), "config");
         for (at, action) in &actions {
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -43,7 +43,7 @@
     pub royal: Option<Box<Royal>>,
     disk: Stored,
     writes: VecDeque<(u64, Write)>,
-    held: VecDeque<(u64, royal::Effect)>,
+    held: Vec<(u64, Ipv4Addr, Dance)>,
     written: u64,
     durable: u64,
     syncing: bool,
@@ -65,6 +65,8 @@
     ip: Ipv4Addr,
     life: u32,
     pub up: bool,
+    /// Removed for good, or not brought in yet.
+    gone: bool,
     frozen: bool,
     tick_at: Option<Duration>,
 }
@@ -85,6 +87,16 @@
     ops: u64,
 }
 
+/// How large a world is.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub queens: usize,
+    pub spare: usize,
+    pub foragers: usize,
+    pub clients: usize,
+    pub tolerance: usize,
+}
+
 pub struct World {
     pub now: Duration,
     base: Instant,
@@ -94,6 +106,9 @@
     next: u64,
     pub nodes: Vec<Node>,
     queens: usize,
+    /// Machines that may be lost at once, and how many of the queens founded the system.
+    tolerance: usize,
+    founders: usize,
     pub instances: Vec<Instance>,
     log: Log,
     cuts: BTreeSet<(usize, usize)>,
@@ -118,7 +133,9 @@
 const STALE: Duration = Duration::from_millis(1500);
 
 impl World {
-    pub fn new(seed: u64, queens: usize, foragers: usize, clients: usize) -> Self {
+    /// `spare` of the queens' machines stay off until they are brought in.
+    pub fn new(seed: u64, size: Size) -> Self {
+        let Size { queens, spare, foragers, clients, tolerance } = size;
         let mut world = World {
             now: Duration::ZERO,
             base: Instant::now() + Duration::from_secs(3600),
@@ -127,7 +144,9 @@
             events: HashMap::new(),
             next: 0,
             nodes: Vec::new(),
-            queens,
+            queens: queens + spare,
+            tolerance,
+            founders: queens,
             instances: Vec::new(),
             log: Log { term: 1, ..Log::default() },
             cuts: BTreeSet::new(),
@@ -146,16 +165,16 @@
             raced: 0,
             sync: Duration::from_millis(2),
         };
-        for n in 0..queens + foragers {
+        for n in 0..queens + spare + foragers {
             let ip = Ipv4Addr::new(10, 0, 0, n as u8 + 1);
-            let kind = if n < queens {
+            let kind = if n < queens + spare {
                 let id = world.rng.u64(1..);
                 let disk = Stored { id, ..Stored::default() };
                 Kind::Queen(Queen {
                     royal: None,
                     disk,
                     writes: VecDeque::new(),
-                    held: VecDeque::new(),
+                    held: Vec::new(),
                     written: 0,
                     durable: 0,
                     syncing: false,
@@ -163,16 +182,20 @@
             } else {
                 Kind::Forager(Forager { field: None, relay: None, revision: 0 })
             };
-            world.nodes.push(Node { kind, ip, life: 0, up: false, frozen: false, tick_at: None });
+            world.nodes.push(Node { kind, ip, life: 0, up: false, gone: false, frozen: false, tick_at: None });
             world.applied.push(0);
-            world.start(n, true);
+            if n < queens || n >= queens + spare {
+                world.start(n, true);
+            } else {
+                world.nodes[n].gone = true;
+            }
         }
         for n in 0..3 {
             world.add_instance(n == 0);
         }
         for n in 0..clients {
             world.clients.push(Client {
-                forager: queens + n % foragers.max(1),
+                forager: queens + spare + n % foragers.max(1),
                 session: None,
                 script: VecDeque::new(),
                 asked: None,
@@ -221,20 +244,24 @@
 
     fn settings(&self, node: usize, bootstrap: bool) -> Settings {
         let ip = self.nodes[node].ip;
-        let seeds: Vec<String> = (0..self.queens.min(3))
+        // The operator's list as it stands: the first three machines that are there.
+        let listed = (0..self.queens).filter(|q| self.nodes.get(*q).map_or(*q < self.founders, |n| !n.gone));
+        let seeds: Vec<String> = listed
+            .take(3)
             .map(|q| format!("\"{}:80\"", self.nodes.get(q).map_or(Ipv4Addr::new(10, 0, 0, q as u8 + 1), |n| n.ip)))
             .collect();
         let text = format!(
-            "node-name = \"n{node}\"\nip = \"{ip}\"\nzone = \"z{}\"\ninternal-ports = [7000, 7001]\nseed-nodes = [{}]\nbootstrap = {bootstrap}\nin-quorum = {}\nbeat-ms = 1200\n[listen]\ncontrol = \"{ip}:80\"\n[platform]\naddress = \"10.8.0.1:80\"\n",
+            "node-name = \"n{node}\"\nip = \"{ip}\"\nzone = \"z{}\"\ninternal-ports = [7000, 7001]\nseed-nodes = [{}]\nbootstrap = {bootstrap}\nin-quorum = {}\nbeat-ms = 1200\n[tolerance]\nmachines = {}\n[listen]\ncontrol = \"{ip}:80\"\n[platform]\naddress = \"10.8.0.1:80\"\n",
             node % 3,
             seeds.join(","),
-            node < self.queens
+            node < self.queens,
+            self.tolerance
         );
         Settings::read(&text).expect("the simulation's own settings")
     }
 
     pub fn start(&mut self, n: usize, bootstrap: bool) {
-        if self.nodes[n].up {
+        if self.nodes[n].up || self.nodes[n].gone {
             return;
         }
         let settings = self.settings(n, bootstrap);
@@ -487,19 +514,21 @@
                 let effects = royal.effects();
                 let due = royal.wake(now);
                 let (role, term) = (royal.raft().role(), royal.raft().term());
+                let mut ready = Vec::new();
                 for effect in effects {
                     match effect {
                         royal::Effect::Write(number, write) => {
                             q.written = number;
                             q.writes.push_back((number, write));
                         }
-                        effect => q.held.push_back((q.written, effect)),
+                        royal::Effect::Send(to, dance, after) if after > q.durable => q.held.push((after, to, dance)),
+                        effect => ready.push(effect),
                     }
                 }
-                let mut ready = Vec::new();
-                while q.held.front().is_some_and(|(after, _)| *after <= q.durable) {
-                    ready.extend(q.held.pop_front().map(|(_, e)| e));
-                }
+                let (out, waiting) = q.held.drain(..).partition(|(after, ..)| *after <= q.durable);
+                q.held = waiting;
+                let out: Vec<_> = out;
+                ready.extend(out.into_iter().map(|(after, to, dance)| royal::Effect::Send(to, dance, after)));
                 let sync = !q.syncing && !q.writes.is_empty();
                 q.syncing |= sync;
                 let written = q.written;
@@ -579,7 +608,7 @@
 
     fn royal_effect(&mut self, n: usize, life: u32, effect: royal::Effect) {
         match effect {
-            royal::Effect::Send(to, dance) => self.post(n, to, dance),
+            royal::Effect::Send(to, dance, _) => self.post(n, to, dance),
             royal::Effect::Reply(token, response) => {
                 if token > 0 && token < 1_000_000 {
                     match response.status {
@@ -1039,6 +1068,15 @@
             }
             "kill" => self.target(who).into_iter().for_each(|n| self.stop(n, false)),
             "power" => self.target(who).into_iter().for_each(|n| self.stop(n, true)),
+            // Gone for good, and an empty machine at another address in its place.
+            "remove" => self.target(who).into_iter().for_each(|n| {
+                self.stop(n, true);
+                self.nodes[n].gone = true;
+            }),
+            "add" => self.target(who).into_iter().for_each(|n| {
+                self.nodes[n].gone = false;
+                self.start(n, false);
+            }),
             "wipe" => self.target(who).into_iter().for_each(|n| {
                 self.stop(n, true);
                 self.wipe(n);
--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -16,6 +16,8 @@
         card: Card,
         voter: Option<raft::VoterId>,
         founding: bool,
+        /// Other daemons that keep the log, as known to the one that greets.
+        known: Vec<Card>,
     },
     Raft(raft::Message),
     Propose {
--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -1,7 +1,7 @@
 //! Raft, after "Raft Refloated" (§2–4); `docs/raft.md` tells what was kept and what was changed.
 //!
-//! The caller performs the outputs in order, with one rule that carries the safety: whatever follows
-//! an [`Effect::Write`] is let out only once that write is durable.
+//! The caller performs the outputs in order, with one rule that carries the safety: a message names
+//! the [`Effect::Write`] that it rests on, and is let out only once that write is durable.
 
 use crate::version::ledger::{Command, Mark};
 use serde::{Deserialize, Serialize};
@@ -66,10 +66,12 @@
         round: u64,
         snapshot: Snapshot,
     },
-    /// A daemon outside the electorate asks to be sent the log.
+    /// A daemon outside the electorate asks to be sent the log; `voter`: and to be admitted.
     Join {
         voter: bool,
     },
+    /// The leader hands its lead on: stand at once.
+    Succeed,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -104,7 +106,8 @@
 pub enum Effect {
     /// To be made durable; answered by [`Raft::durable`] with the same number.
     Write(u64, Write),
-    Send(Ipv4Addr, Message),
+    /// To be let out once the write with this number is durable (0: at once).
+    Send(Ipv4Addr, Message, u64),
     /// The snapshot replaces the state machine's state.
     Restore(Snapshot),
     Apply(u64, Entry),
@@ -128,6 +131,8 @@
     pub t: Duration,
     /// A leader counts as confirmed for this long after a round that a majority answered began.
     pub confirm: Duration,
+    /// How many disks may be lost at once: what is committed is on more of them.
+    pub tolerance: usize,
 }
 
 /// Broadcast times kept for the candidate's timer, and its bounds.
@@ -140,10 +145,23 @@
 const BATCH_BYTES: usize = 512 * 1024;
 /// Rounds remembered for confirmation.
 const ROUNDS: usize = 64;
+/// A voter silent for this long is replaced where somebody stands ready to take its place.
+const RETIRE_AFTER: Duration = Duration::from_millis(1500);
+/// A newcomer counts as ready while it was heard within this and lacks no more entries than that.
+const READY_WITHIN: Duration = Duration::from_millis(500);
+const READY_GAP: u64 = 2;
+/// Outsiders silent for this long are no longer sent the log; they ask again.
+const OUTSIDER_GONE: Duration = Duration::from_secs(10);
+/// The electorate does not outgrow this.
+const VOTERS_MAX: usize = 9;
 
 #[derive(Debug)]
 struct Peer {
     ip: Ipv4Addr,
+    /// Sent the log since then.
+    since: Instant,
+    /// Outside the electorate, it asked to be admitted.
+    wants: bool,
     next: u64,
     matched: u64,
     /// Newest round answered.
@@ -174,10 +192,15 @@
     vote: Option<VoterId>,
     snapshot: Snapshot,
     log: VecDeque<Entry>,
+    /// The newest electorate in the log, committed or not, and where it stands.
+    electorate: Vec<Voter>,
+    electorate_index: u64,
     commit: u64,
     applied: u64,
     durable: u64,
     writes: u64,
+    /// The newest write of term and vote.
+    hard_write: u64,
     /// Last index written by each write that is under way.
     writing: VecDeque<(u64, u64)>,
     role: Role,
@@ -237,8 +260,11 @@
             applied: snapshot.index,
             snapshot,
             log: stored.log.into(),
+            electorate: Vec::new(),
+            electorate_index: 0,
             durable: last,
             writes: 0,
+            hard_write: 0,
             writing: VecDeque::new(),
             role: Role::Follower,
             leader: None,
@@ -257,6 +283,7 @@
             rng,
             out: Vec::new(),
         };
+        raft.find_electorate();
         if raft.snapshot.index > 0 {
             raft.out.push(Effect::Restore(raft.snapshot.clone()));
         }
@@ -286,17 +313,31 @@
     }
 
     /// The electorate: the newest in the log, committed or not.
-    pub fn voters(&self) -> Vec<Voter> {
-        for entry in self.log.iter().rev() {
-            if let Command::Voters { voters } = &entry.command {
-                return voters.clone();
-            }
-        }
-        self.snapshot.voters.clone()
+    pub fn voters(&self) -> &[Voter] {
+        &self.electorate
     }
 
     pub fn is_voter(&self) -> bool {
-        self.voters().iter().any(|v| v.id == self.me.id)
+        self.votes_here(self.me.id)
+    }
+
+    fn votes_here(&self, id: VoterId) -> bool {
+        self.electorate.iter().any(|v| v.id == id)
+    }
+
+    /// To be called whenever the log's end or the snapshot changed.
+    fn find_electorate(&mut self) {
+        let found = self.log.iter().enumerate().rev().find_map(|(at, e)| match &e.command {
+            Command::Voters { voters } => Some((self.snapshot.index + 1 + at as u64, voters.clone())),
+            _ => None,
+        });
+        (self.electorate_index, self.electorate) = found.unwrap_or((0, self.snapshot.voters.clone()));
+    }
+
+    /// How many voters must hold an entry durably before it counts as committed: a majority, and more
+    /// than may be lost at once.
+    fn quorum(&self) -> usize {
+        (self.electorate.len() / 2).max(self.timing.tolerance) + 1
     }
 
     /// Whether a majority has answered a round begun within the confirmation span, and an entry of
@@ -331,6 +372,9 @@
 
     fn write(&mut self, write: Write) {
         self.writes += 1;
+        if write.hard.is_some() {
+            self.hard_write = self.writes;
+        }
         self.writing.push_back((self.writes, self.last_index()));
         self.sync_began.push_back((self.writes, self.clock));
         self.out.push(Effect::Write(self.writes, write));
@@ -349,8 +393,20 @@
     }
 
     fn send(&mut self, to: Voter, body: Body) {
+        let after = match body {
+            // A vote, or word of what is in the log here, rests on all that was written before.
+            Body::RequestVote { .. } | Body::Vote { .. } | Body::Appended { .. } => self.writes,
+            // A leader's messages rest on its term alone: it counts itself only for what is durable.
+            Body::AppendEntries { .. } | Body::InstallSnapshot { .. } | Body::Succeed => self.hard_write,
+            Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Join { .. } => 0,
+        };
         let message = Message { from: self.me, to: to.id, term: self.term, body };
-        self.out.push(Effect::Send(to.ip, message));
+        self.out.push(Effect::Send(to.ip, message, after));
+    }
+
+    /// How long the oldest write under way has been waiting for the disk.
+    fn disk_silent(&self, now: Instant) -> Duration {
+        self.sync_began.front().map_or(Duration::ZERO, |(_, began)| now.duration_since(*began))
     }
 
     /// The next moment at which [`Raft::tick`] has something to do.
@@ -366,8 +422,10 @@
         if self.role == Role::Leader {
             if self.leading.beat_due.is_none_or(|d| now >= d) {
                 self.check_quorum(now);
+                self.check_disk(now);
                 if self.role == Role::Leader {
                     self.begin_round(now);
+                    self.settle_membership(now);
                 }
             }
             return;
@@ -375,7 +433,8 @@
         if now < self.due {
             return;
         }
-        if !self.is_voter() {
+        // One whose disk hangs could not vote for itself either.
+        if !self.is_voter() || self.disk_silent(now) > self.timing.t * 2 {
             self.due = now + jitter(&mut self.rng, self.timing.t) * 2;
             return;
         }
@@ -413,7 +472,7 @@
     }
 
     fn others(&self) -> Vec<Voter> {
-        self.voters().into_iter().filter(|v| v.id != self.me.id).collect()
+        self.electorate.iter().copied().filter(|v| v.id != self.me.id).collect()
     }
 
     fn has_majority(&self, votes: &BTreeSet<VoterId>) -> bool {
@@ -457,17 +516,18 @@
         let next = self.last_index() + 1;
         self.leading = Leading { first: next, since: Some(now), ..Leading::default() };
         for peer in self.others() {
-            self.add_peer(peer, next);
+            self.add_peer(now, peer, next);
         }
         // The electorate goes through the log too, so that a voter which missed some of the founders'
         // greetings learns of it from the others.
-        let founding = self.last_voters_index() == 0 && self.snapshot.index == 0;
-        let first = if founding { Command::Voters { voters: self.voters() } } else { Command::Noop };
+        let founding = self.electorate_index == 0 && self.snapshot.index == 0;
+        let first = if founding { Command::Voters { voters: self.electorate.clone() } } else { Command::Noop };
         self.append(now, Mark::default(), first);
     }
 
-    fn add_peer(&mut self, peer: Voter, next: u64) {
-        let fresh = Peer { ip: peer.ip, next, matched: 0, round: 0, heard: None, flying: None };
+    fn add_peer(&mut self, now: Instant, peer: Voter, next: u64) {
+        let fresh =
+            Peer { ip: peer.ip, since: now, wants: false, next, matched: 0, round: 0, heard: None, flying: None };
         self.leading.peers.insert(peer.id, fresh);
     }
 
@@ -498,18 +558,18 @@
     }
 
     fn append(&mut self, now: Instant, mark: Mark, command: Command) -> u64 {
-        let voters_change = matches!(command, Command::Voters { .. });
         let entry = Entry { term: self.term, mark, command };
         self.log.push_back(entry.clone());
         let index = self.last_index();
-        self.write(Write { entries: vec![(index, entry)], ..Write::default() });
-        if voters_change {
+        if let Command::Voters { voters } = &entry.command {
+            (self.electorate_index, self.electorate) = (index, voters.clone());
             for voter in self.others() {
                 if !self.leading.peers.contains_key(&voter.id) {
-                    self.add_peer(voter, index);
+                    self.add_peer(now, voter, index);
                 }
             }
         }
+        self.write(Write { entries: vec![(index, entry)], ..Write::default() });
         self.begin_round(now);
         index
     }
@@ -604,8 +664,39 @@
         }
     }
 
+    /// A leader whose disk is silent hands the lead on, if the others have what it has (ours).
+    fn check_disk(&mut self, now: Instant) {
+        if self.role != Role::Leader || self.disk_silent(now) <= self.timing.t * 2 {
+            return;
+        }
+        if self.hand_on() {
+            self.follow(now, self.term, None);
+        }
+    }
+
+    /// Names a successor that holds the whole log; false if there is none.
+    fn hand_on(&mut self) -> bool {
+        let last = self.last_index();
+        let held = |v: &Voter| self.leading.peers.get(&v.id).is_some_and(|p| p.matched >= last);
+        let level: Vec<Voter> = self.others().into_iter().filter(|v| held(v)).collect();
+        let enough = level.len() * 2 > self.electorate.len();
+        if let Some(heir) = level.first().copied().filter(|_| enough) {
+            self.send(heir, Body::Succeed);
+            return true;
+        }
+        false
+    }
+
+    /// This daemon ends: a leader hands its lead on first.
+    pub fn leave(&mut self, now: Instant) {
+        if self.role == Role::Leader && self.hand_on() {
+            self.follow(now, self.term, None);
+            self.due = now + self.timing.t * 20;
+        }
+    }
+
     fn confirm_round(&mut self, now: Instant) {
-        let voters = self.voters();
+        let voters = &self.electorate;
         let mut rounds: Vec<u64> = voters
             .iter()
             .map(|v| {
@@ -649,7 +740,7 @@
 
     /// Commits what a majority holds durably, and only by way of an entry of this term.
     fn advance(&mut self, _now: Instant) {
-        let voters = self.voters();
+        let voters = &self.electorate;
         let mut held: Vec<u64> =
             voters
                 .iter()
@@ -662,14 +753,10 @@
                 })
                 .collect();
         held.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&index) = held.get(voters.len() / 2) else { return };
+        let Some(&index) = held.get(self.quorum() - 1) else { return };
         if index > self.commit && self.term_at(index) == Some(self.term) {
             self.commit_to(index);
             self.settle_reads();
-            if !self.voters().iter().any(|v| v.id == self.me.id) {
-                self.role = Role::Follower;
-                self.leader = None;
-            }
         }
     }
 
@@ -722,6 +809,10 @@
                     || self.heard_leader.is_some_and(|h| now.duration_since(h) < self.timing.t);
                 let granted = !content && term >= self.term && self.up_to_date(last_index, last_term);
                 self.send(from, Body::PreVoteAnswer { granted });
+                if self.role == Role::Leader && !self.votes_here(from.id) {
+                    // It was retired while it was away and does not know.
+                    self.admit(now, from, true);
+                }
                 return;
             }
             Body::PreVoteAnswer { granted } => {
@@ -750,8 +841,7 @@
                 let granted = term == self.term
                     && matches!(self.role, Role::Follower | Role::PreCandidate)
                     && self.vote.is_none_or(|v| v == from.id)
-                    && self.up_to_date(last_index, last_term)
-                    && self.is_voter();
+                    && self.up_to_date(last_index, last_term);
                 if granted {
                     if self.vote.is_none() {
                         self.vote = Some(from.id);
@@ -798,6 +888,12 @@
                 self.send(from, Body::Appended { round, success: true, index });
             }
             Body::Appended { round, success, index } => self.appended(now, from, term, round, success, index),
+            Body::Succeed => {
+                if term == self.term && self.role == Role::Follower && self.is_voter() {
+                    self.election_began = now;
+                    self.stand(now);
+                }
+            }
             Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Join { .. } => {}
         }
     }
@@ -846,20 +942,32 @@
             write.entries.push((index, entry));
         }
         if write != Write::default() {
+            let touched = |(_, e): &(u64, Entry)| matches!(e.command, Command::Voters { .. });
+            if write.truncate.is_some() || write.entries.iter().any(touched) {
+                self.find_electorate();
+            }
             self.write(write);
         }
         (true, agreed)
     }
 
+    /// Takes a snapshot that is ahead of what is committed here. Entries behind it that fit it stay:
+    /// this daemon may have told the leader that it holds them.
     fn install(&mut self, snapshot: Snapshot) {
-        self.log.clear();
+        let fits = self.term_at(snapshot.index) == Some(snapshot.term);
+        if fits {
+            self.log.drain(..(snapshot.index - self.snapshot.index) as usize);
+        } else {
+            self.log.clear();
+            self.durable = snapshot.index;
+            self.writing.iter_mut().for_each(|(_, last)| *last = snapshot.index);
+        }
         self.commit = snapshot.index;
         self.applied = snapshot.index;
-        self.durable = snapshot.index;
-        self.writing.iter_mut().for_each(|(_, last)| *last = snapshot.index);
         self.snapshot = snapshot.clone();
-        let write = Write { truncate: Some(0), snapshot: Some(snapshot.clone()), ..Write::default() };
-        self.write(write);
+        self.find_electorate();
+        let truncate = (!fits).then_some(0);
+        self.write(Write { truncate, snapshot: Some(snapshot.clone()), ..Write::default() });
         self.out.push(Effect::Restore(snapshot));
     }
 
@@ -877,7 +985,7 @@
             peer.matched = peer.matched.max(index);
             peer.next = peer.next.max(peer.matched + 1);
         } else {
-            peer.next = (index + 1).min(peer.next.saturating_sub(1)).max(1);
+            peer.next = (index + 1).min(peer.next.saturating_sub(1)).max(peer.matched + 1);
         }
         let more = peer.next <= last;
         self.confirm_round(now);
@@ -890,58 +998,76 @@
         }
     }
 
-    /// A daemon outside the electorate is sent the log; one that took a voter's place (same address,
-    /// new disk) is admitted as that voter's replacement, in two steps so that majorities overlap.
-    fn admit(&mut self, now: Instant, from: Voter, wants_vote: bool) {
+    /// A daemon outside the electorate is sent the log, and may be admitted later.
+    fn admit(&mut self, now: Instant, from: Voter, wants: bool) {
         if self.role != Role::Leader || from.id == self.me.id {
             return;
         }
-        let voters = self.voters();
         if !self.leading.peers.contains_key(&from.id) {
             let next = self.last_index() + 1;
-            self.add_peer(from, next);
+            self.add_peer(now, from, next);
             self.replicate(now, from.id, true);
         }
-        let settled = self.commit == self.last_index() || self.commit >= self.last_voters_index();
-        if !wants_vote || !settled || self.commit < self.leading.first || voters.iter().any(|v| v.id == from.id) {
-            return;
-        }
-        if let Some(old) = voters.iter().find(|v| v.ip == from.ip) {
-            let voters: Vec<Voter> = voters.iter().copied().filter(|v| v.id != old.id).collect();
-            let gone = old.id;
-            self.leading.peers.remove(&gone);
-            self.append(now, Mark::default(), Command::Voters { voters });
+        if let Some(peer) = self.leading.peers.get_mut(&from.id) {
+            peer.wants |= wants;
+            peer.ip = from.ip;
         }
+        self.settle_membership(now);
     }
 
-    /// Re-admits a daemon whose old identity was removed once it has caught up.
+    /// One step towards the electorate that should be: all that stand ready, in odd numbers, and
+    /// nobody who is gone for good. One change at a time, each committed before the next, so that
+    /// majorities of consecutive electorates overlap; `docs/raft.md` tells why this is safe.
     fn settle_membership(&mut self, now: Instant) {
-        if self.commit < self.leading.first || self.commit < self.last_voters_index() {
+        if self.role != Role::Leader || self.commit < self.leading.first || self.commit < self.electorate_index {
             return;
         }
-        let voters = self.voters();
-        if voters.len() >= self.original_size() {
-            return;
-        }
-        let caught_up = self.leading.peers.iter().find(|(id, p)| {
-            p.matched + 1 >= self.commit && p.heard.is_some() && voters.iter().all(|v| v.id != **id && v.ip != p.ip)
+        let voters = self.electorate.clone();
+        let votes = |id: &VoterId| voters.iter().any(|v| v.id == *id);
+        let silent = |p: &Peer| now.duration_since(p.heard.unwrap_or(p.since));
+        self.leading.peers.retain(|id, p| votes(id) || silent(p) < OUTSIDER_GONE);
+        let (peers, commit) = (&self.leading.peers, self.commit);
+        let outside = || peers.iter().filter(|(id, p)| p.wants && !votes(id));
+        let ready: Vec<Voter> = outside()
+            .filter(|(_, p)| {
+                p.heard.is_some_and(|h| now.duration_since(h) < READY_WITHIN) && p.matched + READY_GAP >= commit
+            })
+            .map(|(id, p)| Voter { id: *id, ip: p.ip })
+            .collect();
+        // Two identities at one address: the disk there is new, and the voter that was on it is no more.
+        let voter_silence = |v: &Voter| peers.get(&v.id).map_or(Duration::ZERO, &silent);
+        let wiped = voters.iter().find(|v| {
+            voter_silence(v) > self.timing.t * 2 && outside().any(|(_, p)| p.ip == v.ip && p.heard.is_some())
         });
-        if let Some((id, peer)) = caught_up {
-            let mut voters = voters;
-            voters.push(Voter { id: *id, ip: peer.ip });
-            voters.sort_unstable();
-            self.append(now, Mark::default(), Command::Voters { voters });
+        let longest = voters
+            .iter()
+            .filter(|v| v.id != self.me.id)
+            .max_by_key(|v| voter_silence(v))
+            .filter(|v| voter_silence(v) > RETIRE_AFTER);
+        let even = voters.len() % 2 == 0;
+        let full = voters.len() >= VOTERS_MAX;
+        let spare = voters.len() > 2 * self.timing.tolerance + 1;
+        let newcomer = ready.iter().find(|r| voters.iter().all(|v| v.ip != r.ip));
+        let retired = match (wiped, longest) {
+            (Some(old), _) => Some(old),
+            (None, Some(old)) if !even && (ready.len() == 1 || (full && !ready.is_empty())) => Some(old),
+            (None, Some(old)) if even && ready.is_empty() && spare => Some(old),
+            _ => None,
+        };
+        let next: Vec<Voter> = if let Some(old) = retired {
+            voters.iter().copied().filter(|v| v.id != old.id).collect()
+        } else if let Some(new) = newcomer.filter(|_| (even || ready.len() > 1) && !full) {
+            let mut next = voters.clone();
+            next.push(*new);
+            next.sort_unstable();
+            next
+        } else {
+            return;
+        };
+        if let Some(old) = retired.map(|o| o.id) {
+            self.leading.peers.remove(&old);
         }
-    }
-
-    fn last_voters_index(&self) -> u64 {
-        let at = self.log.iter().rposition(|e| matches!(e.command, Command::Voters { .. }));
-        at.map_or(0, |at| self.snapshot.index + 1 + at as u64)
-    }
-
-    /// The electorate keeps an odd size: an even one lacks the voter just removed.
-    fn original_size(&self) -> usize {
-        self.voters().len() | 1
+        self.append(now, Mark::default(), Command::Voters { voters: next });
     }
 
     /// What a daemon outside the electorate sends to be sent the log.
@@ -963,6 +1089,7 @@
             }
         }
         self.snapshot = Snapshot { index, term, voters, state };
+        self.find_electorate();
         let snapshot = Some(self.snapshot.clone());
         self.write(Write { snapshot, ..Write::default() });
     }
@@ -976,6 +1103,7 @@
     pub fn found(&mut self, voters: Vec<Voter>) {
         if self.last_index() == 0 && self.snapshot.voters.is_empty() {
             self.snapshot.voters = voters;
+            self.find_electorate();
             let snapshot = Some(self.snapshot.clone());
             self.write(Write { snapshot, ..Write::default() });
         }
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -11,7 +11,7 @@
 use crate::version::config;
 use crate::version::ledger::{Command, Ledger, Mark, Outcome};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
 pub type Token = u64;
@@ -47,9 +47,9 @@
 
 #[derive(Debug)]
 pub enum Effect {
-    /// To be made durable; whatever follows waits for it.
     Write(u64, Write),
-    Send(Ipv4Addr, Dance),
+    /// To be let out once the write with this number is durable (0: at once).
+    Send(Ipv4Addr, Dance, u64),
     Reply(Token, Response),
     Probe {
         token: u64,
@@ -93,7 +93,9 @@
 const GOSSIP: Duration = Duration::from_millis(1000);
 const DUTY_TICK: Duration = Duration::from_millis(25);
 const HELLO: Duration = Duration::from_millis(200);
-const JOIN: Duration = Duration::from_millis(500);
+const JOIN: Duration = Duration::from_millis(300);
+/// Daemons that keep the log and were not heard for this long are forgotten, unless they are seeds or vote.
+const QUEEN_GONE: Duration = Duration::from_secs(60);
 /// Applied entries kept before they are compacted.
 const LOG_KEPT: u64 = 400;
 /// A leader counts as confirmed this long after a round began that a majority answered.
@@ -112,7 +114,7 @@
     relay: Relay,
     duties: Duties,
     /// Other daemons that keep the log.
-    queens: BTreeMap<Ipv4Addr, Card>,
+    queens: BTreeMap<Ipv4Addr, (Card, Instant)>,
     founders: BTreeMap<Ipv4Addr, raft::VoterId>,
     proposer: u64,
     serial: u64,
@@ -139,7 +141,8 @@
             age: 0,
         };
         let seeds: Vec<Ipv4Addr> = settings.seed_nodes.iter().map(|s| *s.ip()).collect();
-        let timing = Timing { t: Duration::from_millis(settings.election.t_ms), confirm: CONFIRM };
+        let t = Duration::from_millis(settings.election.t_ms);
+        let timing = Timing { t, confirm: CONFIRM, tolerance: settings.tolerance.machines };
         let proposer = rng.u64(1..);
         let raft = Raft::new(now, settings.ip, timing, stored, rng.fork());
         let relay = Relay::new(now, Views::new(card.clone(), rng.fork()), seeds.clone(), true);
@@ -165,7 +168,7 @@
             next_read: 0,
             published: 0,
             hello_due: now,
-            join_due: now + JOIN,
+            join_due: now,
             gossip_due: now + GOSSIP / 2,
             duty_due: now,
             was: Role::Follower,
@@ -192,11 +195,14 @@
     }
 
     fn send(&mut self, to: Ipv4Addr, dance: Dance) {
-        self.pending.push_back(Effect::Send(to, dance));
+        self.pending.push_back(Effect::Send(to, dance, 0));
     }
 
+    /// Every other daemon that may keep the log: the seeds are only the first of them.
     fn others(&self) -> BTreeSet<Ipv4Addr> {
-        let mut all: BTreeSet<Ipv4Addr> = self.seeds.iter().copied().chain(self.queens.keys().copied()).collect();
+        let voters = self.raft.voters().iter().map(|v| v.ip);
+        let mut all: BTreeSet<Ipv4Addr> =
+            self.seeds.iter().copied().chain(self.queens.keys().copied()).chain(voters).collect();
         all.remove(&self.card.ip);
         all
     }
@@ -213,7 +219,9 @@
             for effect in effects {
                 match effect {
                     raft::Effect::Write(number, write) => self.pending.push_back(Effect::Write(number, write)),
-                    raft::Effect::Send(to, message) => self.send(to, Dance::Raft(message)),
+                    raft::Effect::Send(to, message, after) => {
+                        self.pending.push_back(Effect::Send(to, Dance::Raft(message), after))
+                    }
                     raft::Effect::Restore(snapshot) => self.restore(&snapshot),
                     raft::Effect::Apply(index, entry) => self.apply(now, index, &entry),
                     raft::Effect::Readable(read) => {
@@ -251,7 +259,7 @@
         }
         self.relay.root_heard(now, self.sign_of_leader(now));
         for (to, dance) in self.relay.messages() {
-            self.pending.push_back(Effect::Send(to, dance));
+            self.send(to, dance);
         }
         for effect in self.duties.effects() {
             match effect {
@@ -403,9 +411,16 @@
 
     fn other_dance(&mut self, now: Instant, from: Ipv4Addr, dance: Dance) {
         match dance {
-            Dance::Hello { card, voter, founding } => {
+            Dance::Hello { card, voter, founding, known } => {
                 if card.control.is_some() {
-                    self.queens.insert(from, card.clone());
+                    let new = self.queens.insert(from, (card.clone(), now)).is_none_or(|(c, _)| c.control.is_none());
+                    if new {
+                        let hello = self.hello();
+                        self.send(from, hello);
+                    }
+                }
+                for card in known.into_iter().filter(|c| c.ip != self.card.ip && c.control.is_some()) {
+                    self.queens.entry(card.ip).or_insert((card, now));
                 }
                 self.relay.views.take(std::slice::from_ref(&card));
                 if let Some(id) = voter.filter(|_| founding && self.seeds.contains(&from)) {
@@ -414,13 +429,8 @@
                 }
             }
             Dance::Raft(message) => {
-                self.queens.entry(from).or_insert_with(|| Card {
-                    name: from.to_string(),
-                    ip: from,
-                    zone: String::new(),
-                    control: None,
-                    age: 0,
-                });
+                let unknown = || Card { name: from.to_string(), ip: from, zone: String::new(), control: None, age: 0 };
+                self.queens.entry(from).or_insert_with(|| (unknown(), now)).1 = now;
                 self.raft.receive(now, message);
             }
             Dance::Propose { mark, command } => {
@@ -473,12 +483,29 @@
         }
     }
 
+    fn hello(&self) -> Dance {
+        let founding = self.bootstrap && self.in_quorum;
+        let known = self.queens.values().map(|(c, _)| c.clone()).collect();
+        Dance::Hello { card: self.card.clone(), voter: Some(self.raft.me().id), founding, known }
+    }
+
+    /// This daemon is about to end.
+    pub fn leave(&mut self, now: Instant) {
+        self.raft.leave(now);
+        self.turn(now);
+    }
+
+    /// Where callers of `control` find another daemon that keeps the log.
+    fn control_of(&self, ip: Ipv4Addr) -> Option<SocketAddrV4> {
+        if ip == self.card.ip { self.card.control } else { self.queens.get(&ip).and_then(|(c, _)| c.control) }
+    }
+
     /// Fixes the first electorate: the seeds that vote, once each has told its identity.
     fn found(&mut self) {
         if !self.bootstrap || !self.in_quorum || !self.raft.voters().is_empty() || !self.seeds.contains(&self.card.ip) {
             return;
         }
-        let mut voters = vec![self.raft.me()];
+        let mut voters: Vec<Voter> = vec![self.raft.me()];
         for seed in self.seeds.iter().filter(|s| **s != self.card.ip) {
             match self.founders.get(seed) {
                 Some(id) => voters.push(Voter { id: *id, ip: *seed }),
@@ -507,8 +534,9 @@
 
     pub fn next_due(&self) -> Instant {
         let mut due = self.raft.next_due().min(self.relay.next_due()).min(self.gossip_due);
-        if self.raft.voters().is_empty() {
-            due = due.min(self.hello_due).min(self.join_due);
+        due = due.min(self.hello_due);
+        if !self.raft.is_voter() || self.raft.leader().is_none() {
+            due = due.min(self.join_due);
         }
         if self.raft.role() == Role::Leader {
             due = due.min(self.duty_due);
@@ -524,20 +552,21 @@
         self.raft.tick(now);
         self.turn(now);
         if now >= self.hello_due {
-            let voters = self.raft.voters();
-            self.hello_due = now + if voters.is_empty() { HELLO } else { HELLO * 25 };
-            let founding = self.bootstrap && self.in_quorum;
-            let hello = Dance::Hello { card: self.card.clone(), voter: Some(self.raft.me().id), founding };
+            self.hello_due = now + if self.raft.voters().is_empty() { HELLO } else { HELLO * 25 };
+            let hello = self.hello();
             for to in self.others() {
                 self.send(to, hello.clone());
             }
+            self.queens.retain(|_, (_, heard)| now.duration_since(*heard) < QUEEN_GONE);
             self.found();
         }
         if now >= self.join_due {
             self.join_due = now + JOIN;
             let outside = !self.raft.is_voter()
                 && (!self.bootstrap || !self.raft.voters().is_empty() || !self.seeds.contains(&self.card.ip));
-            if outside {
+            // A voter that finds no leader for so long may have been retired while it was away.
+            let lost = self.raft.leader().is_none() && !self.raft.voters().is_empty();
+            if outside || lost {
                 for to in self.others() {
                     self.raft.join(to, self.in_quorum);
                 }
@@ -596,7 +625,7 @@
             (method, path) => match path.strip_prefix("/api/instances/") {
                 Some(id) if !id.is_empty() && !id.contains('/') => match method {
                     "PUT" => self.beat(now, token, id, &request.body),
-                    "DELETE" => Some(self.leave(now, id)),
+                    "DELETE" => Some(self.instance_leaves(now, id)),
                     _ => Some(Response::error(405, "PUT or DELETE")),
                 },
                 _ => Some(Response::error(404, "no such path")),
@@ -628,7 +657,7 @@
                 None
             }
             _ => {
-                let control = self.raft.leader().and_then(|l| self.queens.get(&l.ip)).and_then(|c| c.control);
+                let control = self.raft.leader().and_then(|l| self.control_of(l.ip));
                 Some(match control {
                     Some(address) => Response {
                         status: 307,
@@ -666,7 +695,7 @@
         Some(Response::ok())
     }
 
-    fn leave(&mut self, now: Instant, id: &str) -> Response {
+    fn instance_leaves(&mut self, now: Instant, id: &str) -> Response {
         if let Some(fact) = self.registry.leave(now, id) {
             self.spread(fact);
             self.duty_due = now;
@@ -710,7 +739,7 @@
             "role": format!("{:?}", self.raft.role()).to_lowercase(),
             "term": self.raft.term(),
             "leader": leader.map(|l| l.ip.to_string()),
-            "leader-control": leader.and_then(|l| if l.ip == self.card.ip { self.card.control } else { self.queens.get(&l.ip).and_then(|c| c.control) }).map(|a| a.to_string()),
+            "leader-control": leader.and_then(|l| self.control_of(l.ip)).map(|a| a.to_string()),
             "commit": self.raft.commit(),
             "last": self.raft.last_index(),
             "voters": self.raft.voters().iter().map(|v| v.ip.to_string()).collect::<Vec<_>>(),
--- a/brood/src/process/settings.rs
+++ b/brood/src/process/settings.rs
@@ -39,6 +39,9 @@
     pub limits: Limits,
     #[serde(default)]
     #[garde(dive)]
+    pub tolerance: Tolerance,
+    #[serde(default)]
+    #[garde(dive)]
     pub timing_bounds: Bounds,
     #[serde(default)]
     #[garde(dive)]
@@ -90,6 +93,15 @@
     }
 }
 
+/// What may be lost at once with every rule kept.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize, Validate)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Tolerance {
+    /// Machines that vote, with their disks.
+    #[garde(skip)]
+    pub machines: usize,
+}
+
 /// The bounds that the rules set; where the file is silent, the protocol pages' usual figures.
 #[derive(Debug, Clone, PartialEq, Deserialize, Validate)]
 #[serde(rename_all = "kebab-case", default)]
--- a/queen/src/drive.rs
+++ b/queen/src/drive.rs
@@ -13,7 +13,7 @@
 use comb::{Alarm, Hive, Shared, shared, within};
 use smol::Async;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::{SocketAddrV4, TcpStream};
 use std::rc::Rc;
 use std::sync::mpsc;
@@ -33,9 +33,8 @@
     links: Links,
     alarm: Rc<Alarm>,
     disk: mpsc::Sender<(u64, Write)>,
-    /// Effects that wait for a write, in order.
-    held: Shared<VecDeque<(u64, Effect)>>,
-    written: std::cell::Cell<u64>,
+    /// Messages that wait for a write, in order.
+    held: Shared<Vec<(u64, std::net::Ipv4Addr, Dance)>>,
     durable: std::cell::Cell<u64>,
     replies: Shared<HashMap<Token, smol::channel::Sender<Response>>>,
     next_token: std::cell::Cell<Token>,
@@ -59,8 +58,7 @@
         links: Links::new(hive, settings.ip, settings.hive_port()),
         alarm: Alarm::new(),
         disk: store.run(done),
-        held: shared(VecDeque::new()),
-        written: std::cell::Cell::new(0),
+        held: shared(Vec::new()),
         durable: std::cell::Cell::new(0),
         replies: shared(HashMap::new()),
         next_token: std::cell::Cell::new(1),
@@ -109,6 +107,7 @@
     .detach();
     let result = ended.recv().await.unwrap_or(Ok(()));
     if result.is_ok() {
+        court.leave();
         smol::Timer::after(FAREWELL).await;
     }
     result
@@ -122,6 +121,12 @@
         self.perform(now);
     }
 
+    fn leave(self: &Rc<Self>) {
+        let now = Instant::now();
+        self.royal.borrow_mut().leave(now);
+        self.perform(now);
+    }
+
     fn dance(self: &Rc<Self>, from: std::net::Ipv4Addr, dance: Dance) {
         let now = Instant::now();
         self.royal.borrow_mut().dance(now, from, dance);
@@ -150,30 +155,29 @@
         }
     }
 
-    /// Performs what the machine wants done; what follows a write waits until it is durable.
+    /// Performs what the machine wants done; a message that rests on a write waits until that is durable.
     fn perform(self: &Rc<Self>, now: Instant) {
         let effects = self.royal.borrow_mut().effects();
         for effect in effects {
             match effect {
                 Effect::Write(number, write) => {
-                    self.written.set(number);
                     let _ = self.disk.send((number, write));
                 }
-                effect => self.held.borrow_mut().push_back((self.written.get(), effect)),
-            }
-        }
-        loop {
-            let next = {
-                let mut held = self.held.borrow_mut();
-                if held.front().is_none_or(|(after, _)| *after > self.durable.get()) {
-                    break;
+                Effect::Send(to, dance, after) if after > self.durable.get() => {
+                    self.held.borrow_mut().push((after, to, dance))
                 }
-                held.pop_front()
-            };
-            if let Some((_, effect)) = next {
-                self.one(effect);
+                effect => self.one(effect),
             }
         }
+        let ready: Vec<_> = {
+            let mut held = self.held.borrow_mut();
+            let (ready, waiting) = held.drain(..).partition(|(after, ..)| *after <= self.durable.get());
+            *held = waiting;
+            ready
+        };
+        for (_, to, dance) in ready {
+            self.links.send(to, &dance);
+        }
         let due = self.royal.borrow().wake(now);
         self.alarm.set(due);
     }
@@ -181,7 +185,7 @@
     fn one(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Write(..) => {}
-            Effect::Send(to, dance) => self.links.send(to, &dance),
+            Effect::Send(to, dance, _) => self.links.send(to, &dance),
             Effect::Reply(token, response) => {
                 if let Some(sender) = self.replies.borrow_mut().remove(&token) {
                     let _ = sender.try_send(response);
