A store of our own: torn ends open, refused and hung disks are waited for

Ruled out: reopening fjall (the torn batch stays refused); redb (a kept header with a lost length does not open). Now one file of digested records, one a sync; docs/architecture.md tells the rest. Tests: power lost, refusals and tears by lot over 300 seeds.

--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -314,7 +314,9 @@
             Kind::Queen(q) => {
                 q.royal = None;
                 let writes: Vec<Write> = q.writes.drain(..).map(|(_, w)| w).take(keep).collect();
-                writes.into_iter().for_each(|w| put(&mut q.disk, w));
+                for write in writes {
+                    q.disk.take(write);
+                }
                 q.held.clear();
             }
             Kind::Forager(f) => {
@@ -429,7 +431,7 @@
                 {
                     while q.writes.front().is_some_and(|(w, _)| *w <= number) {
                         if let Some((_, write)) = q.writes.pop_front() {
-                            put(&mut q.disk, write);
+                            q.disk.take(write);
                         }
                     }
                     q.durable = number;
@@ -1238,24 +1240,3 @@
 fn word_of(text: &str) -> String {
     text.split([' ', '\r']).next().unwrap_or_default().to_owned()
 }
-
-/// What a write leaves on the simulated disk.
-fn put(disk: &mut Stored, write: Write) {
-    if let Some((term, vote)) = write.hard {
-        (disk.term, disk.vote) = (term, vote);
-    }
-    if let Some(from) = write.truncate {
-        let keep = from.saturating_sub(disk.snapshot.index + 1) as usize;
-        disk.log.truncate(keep);
-    }
-    if let Some(snapshot) = write.snapshot {
-        let covered = snapshot.index.saturating_sub(disk.snapshot.index) as usize;
-        disk.log.drain(..covered.min(disk.log.len()));
-        disk.snapshot = snapshot;
-    }
-    for (index, entry) in write.entries {
-        let at = (index - disk.snapshot.index - 1) as usize;
-        disk.log.truncate(at);
-        disk.log.push(entry);
-    }
-}
--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -83,7 +83,7 @@
 }
 
 /// What is on disk.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Stored {
     pub id: VoterId,
     pub term: u64,
@@ -93,7 +93,33 @@
     pub log: Vec<Entry>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq)]
+impl Stored {
+    /// What a write leaves on disk; false if it does not fit what is there.
+    pub fn take(&mut self, write: Write) -> bool {
+        if let Some((term, vote)) = write.hard {
+            (self.term, self.vote) = (term, vote);
+        }
+        if let Some(from) = write.truncate {
+            self.log.truncate(from.saturating_sub(self.snapshot.index + 1) as usize);
+        }
+        if let Some(snapshot) = write.snapshot {
+            let covered = snapshot.index.saturating_sub(self.snapshot.index) as usize;
+            self.log.drain(..covered.min(self.log.len()));
+            self.snapshot = snapshot;
+        }
+        for (index, entry) in write.entries {
+            let Some(at) = index.checked_sub(self.snapshot.index + 1).map(|at| at as usize) else { return false };
+            if at > self.log.len() {
+                return false;
+            }
+            self.log.truncate(at);
+            self.log.push(entry);
+        }
+        true
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Write {
     pub hard: Option<(u64, Option<VoterId>)>,
     /// Entries from this index on are dropped before `entries` are written.
@@ -1044,7 +1070,7 @@
             .filter(|v| v.id != self.me.id)
             .max_by_key(|v| voter_silence(v))
             .filter(|v| voter_silence(v) > RETIRE_AFTER);
-        let even = voters.len() % 2 == 0;
+        let even = voters.len().is_multiple_of(2);
         let full = voters.len() >= VOTERS_MAX;
         let spare = voters.len() > 2 * self.timing.tolerance + 1;
         let newcomer = ready.iter().find(|r| voters.iter().all(|v| v.ip != r.ip));
--- a/queen/src/store.rs
+++ b/queen/src/store.rs
@@ -1,164 +1,293 @@
-//! What a queen keeps on disk, in `fjall`: its identity, term and vote, the log and the snapshot.
+//! What a queen keeps on disk: its identity, term and vote, the log and the snapshot.
 //!
-//! One thread writes; it takes all that waits into one batch and one sync.
+//! One file of records, each with its length and a digest. The first holds the whole state, each later
+//! one the writes of one sync. A record is written only once the one before it is synced, so whatever
+//! is lost or torn is at the end, and was never told as durable; a bad record with a good one behind it
+//! is damage, and the store is refused. When the file has grown it is written anew under another name,
+//! which takes its place once it is synced. `docs/architecture.md` tells why this is not `fjall`.
+//!
+//! One thread writes. A disk that refuses or hangs is waited for: nothing is told meanwhile.
 
-use brood::process::raft::{Entry, Snapshot, Stored, Write};
-use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+use brood::process::raft::{Stored, Write};
+use brood::process::repair::digest;
+use serde::{Deserialize, Serialize};
+use std::fs::File;
+use std::io::{self, ErrorKind, Seek, SeekFrom};
+use std::path::{Path, PathBuf};
 use std::sync::mpsc;
+use std::time::Duration;
 
-const ID: &[u8] = b"id";
-const HARD: &[u8] = b"hard";
-const SNAPSHOT: &[u8] = b"snapshot";
-const LOG: u8 = b'l';
-/// Marks a store whose first sync was done; a folder without it holds nothing that was ever promised.
-const FORMAT: (&[u8], &[u8]) = (b"format", b"1");
-/// The store is small; so is what it may hold in memory.
-const CACHE: u64 = 1 << 20;
-const MEMTABLE: u64 = 4 << 20;
-
-pub struct Store {
-    database: Database,
-    keys: Keyspace,
-}
+const FILE: &str = "queen.log";
+/// A file being written anew; what a crash leaves of it is not in the way.
+const FRESH: &str = "queen.log.new";
+const FORMAT: u32 = 1;
+/// Length and digest before each record.
+const HEAD: usize = 12;
+/// The file is written anew when it has grown beyond this, and beyond so many times the state's size.
+const ROOM: u64 = 1 << 20;
+const ROOM_TIMES: u64 = 4;
+/// Pause before a disk that refused is tried again.
+const RETRY: Duration = Duration::from_millis(100);
 
-fn log_key(index: u64) -> Vec<u8> {
-    let mut key = vec![LOG];
-    key.extend_from_slice(&index.to_be_bytes());
-    key
+#[derive(Debug, Serialize, Deserialize)]
+enum Record {
+    State(u32, Stored),
+    Writes(Vec<Write>),
 }
 
-fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, String> {
-    bincode::serde::encode_to_vec(value, bincode::config::standard()).map_err(|e| e.to_string())
+/// Why the store can't be used: for now, or for good.
+#[derive(Debug)]
+pub enum Trouble {
+    Disk(io::Error),
+    Unreadable(String),
 }
 
-fn decode<T: serde::de::DeserializeOwned>(what: &str, bytes: &[u8]) -> Result<T, String> {
-    match bincode::serde::decode_from_slice(bytes, bincode::config::standard()) {
-        Ok((value, used)) if used == bytes.len() => Ok(value),
-        Ok(_) => Err(format!("{what} has bytes left over")),
-        Err(e) => Err(format!("{what} can't be read: {e}")),
+impl From<io::Error> for Trouble {
+    fn from(e: io::Error) -> Self {
+        Trouble::Disk(e)
     }
 }
 
-impl Store {
-    /// Opens the store, or founds it with a new identity where the folder is empty. A store that
-    /// can't be read is refused, never emptied.
-    pub fn open(path: &str, fresh_id: u64) -> Result<(Store, Stored), String> {
-        let told = |e: &dyn std::fmt::Display| format!("store {path}: {e}");
-        let database = Database::builder(path)
-            .cache_size(CACHE)
-            .worker_threads(1)
-            .max_cached_files(Some(16))
-            .open()
-            .map_err(|e| told(&e))?;
-        let options = || KeyspaceCreateOptions::default().max_memtable_size(MEMTABLE);
-        let keys = database.keyspace("raft", options).map_err(|e| told(&e))?;
-        let store = Store { database, keys };
-        let stored = match store.get(FORMAT.0).map_err(|e| told(&e))? {
-            None => store.found(fresh_id).map_err(|e| told(&e))?,
-            Some(format) if format == FORMAT.1 => store.load().map_err(|e| told(&e))?,
-            Some(_) => return Err(told(&"written by another version")),
-        };
-        Ok((store, stored))
+/// What the store asks of a disk; tests put one of their own in its place.
+pub trait Disk {
+    /// Appends at the end; `Err` may leave a part.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+    fn sync(&mut self) -> io::Result<()>;
+    /// Cuts what lies beyond.
+    fn cut(&mut self, length: u64) -> io::Result<()>;
+    /// Puts a new file with these bytes in the old one's place, synced, names too.
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()>;
+}
+
+pub struct Folder {
+    path: PathBuf,
+    file: File,
+}
+
+impl Folder {
+    fn open(path: &Path) -> io::Result<File> {
+        File::options().read(true).write(true).open(path.join(FILE))
     }
 
-    fn get(&self, key: &[u8]) -> Result<Option<Vec<u8>>, String> {
-        self.keys.get(key).map(|v| v.map(|v| v.to_vec())).map_err(|e| e.to_string())
+    /// A new file takes its name only once it is whole and synced.
+    fn write_whole(path: &Path, bytes: &[u8]) -> io::Result<()> {
+        let fresh = path.join(FRESH);
+        let mut file = File::create(&fresh)?;
+        io::Write::write_all(&mut file, bytes)?;
+        file.sync_all()?;
+        std::fs::rename(&fresh, path.join(FILE))?;
+        File::open(path)?.sync_all()
     }
+}
 
-    fn found(&self, id: u64) -> Result<Stored, String> {
-        let mut batch = self.database.batch();
-        batch.insert(&self.keys, ID, encode(&id)?);
-        batch.insert(&self.keys, FORMAT.0, FORMAT.1);
-        batch.commit().map_err(|e| e.to_string())?;
-        self.database.persist(PersistMode::SyncAll).map_err(|e| e.to_string())?;
-        Ok(Stored { id, ..Stored::default() })
+impl Disk for Folder {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.file.seek(SeekFrom::End(0))?;
+        io::Write::write_all(&mut self.file, bytes)
     }
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.sync_data()
+    }
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        self.file.set_len(length)
+    }
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        Folder::write_whole(&self.path, bytes)?;
+        self.file = Folder::open(&self.path)?;
+        Ok(())
+    }
+}
 
-    fn load(&self) -> Result<Stored, String> {
-        let id = decode("the identity", &self.get(ID)?.ok_or("the identity is missing")?)?;
-        let (term, vote) = match self.get(HARD)? {
-            Some(bytes) => decode("term and vote", &bytes)?,
-            None => (0, None),
-        };
-        let snapshot: Snapshot = match self.get(SNAPSHOT)? {
-            Some(bytes) => decode("the snapshot", &bytes)?,
-            None => Snapshot::default(),
-        };
-        let mut log: Vec<Entry> = Vec::new();
-        for item in self.keys.prefix([LOG]) {
-            let (key, value) = item.into_inner().map_err(|e| e.to_string())?;
-            let index = key
-                .get(1..9)
-                .and_then(|b| b.try_into().ok())
-                .map(u64::from_be_bytes)
-                .ok_or("a log key is cut short")?;
-            if index <= snapshot.index {
-                continue;
-            }
-            if index != snapshot.index + log.len() as u64 + 1 {
-                return Err(format!("the log has a gap before entry {index}"));
+fn framed(record: &Record) -> Result<Vec<u8>, Trouble> {
+    let body = bincode::serde::encode_to_vec(record, bincode::config::standard())
+        .map_err(|e| Trouble::Unreadable(format!("a record can't be written: {e}")))?;
+    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&digest(&body).to_le_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
+/// The body of a good record at the beginning of these bytes.
+fn body(bytes: &[u8]) -> Option<&[u8]> {
+    let (head, rest) = bytes.split_at_checked(HEAD)?;
+    let length = u32::from_le_bytes(head[..4].try_into().ok()?) as usize;
+    let told = u64::from_le_bytes(head[4..].try_into().ok()?);
+    let body = rest.get(..length).filter(|b| !b.is_empty())?;
+    (digest(body) == told).then_some(body)
+}
+
+/// The state that a file's bytes hold, and how many of them are good.
+fn read(bytes: &[u8]) -> Result<(Stored, usize), Trouble> {
+    let bad = |what: &str| Trouble::Unreadable(what.to_owned());
+    let mut state: Option<Stored> = None;
+    let mut at = 0;
+    while let Some(body) = body(&bytes[at..]) {
+        let (record, used) = bincode::serde::decode_from_slice(body, bincode::config::standard())
+            .map_err(|e| Trouble::Unreadable(format!("a record can't be read: {e}")))?;
+        if used != body.len() {
+            return Err(bad("a record has bytes left over"));
+        }
+        match (record, &mut state) {
+            (Record::State(FORMAT, stored), None) => state = Some(stored),
+            (Record::State(..), None) => return Err(bad("written by another version")),
+            (Record::Writes(writes), Some(state)) => {
+                if !writes.into_iter().all(|w| state.take(w)) {
+                    return Err(bad("the log has a gap"));
+                }
             }
-            log.push(decode("a log entry", &value)?);
+            _ => return Err(bad("the records are out of order")),
         }
-        Ok(Stored { id, term, vote, snapshot, log })
+        at += HEAD + body.len();
     }
+    if (at + 1..bytes.len()).any(|later| body(&bytes[later..]).is_some()) {
+        return Err(bad("a record in the middle is damaged"));
+    }
+    Ok((state.ok_or(bad("the first record is damaged"))?, at))
+}
 
-    /// Makes writes durable, together.
-    fn write(&self, writes: &[Write]) -> Result<(), String> {
-        let mut batch = self.database.batch();
-        for write in writes {
-            if let Some(hard) = &write.hard {
-                batch.insert(&self.keys, HARD, encode(hard)?);
-            }
-            if let Some(from) = write.truncate {
-                self.drop_range(&mut batch, from, u64::MAX)?;
+pub struct Store<D = Folder> {
+    disk: D,
+    state: Stored,
+    /// The file's good bytes, and those of the state when it was last written whole.
+    length: u64,
+    whole: u64,
+    /// Something went wrong since: what the file holds beyond `length` is cut first.
+    dirty: bool,
+    /// A sync failed, so the file's bytes can't be trusted to be on disk: it is written anew.
+    doubtful: bool,
+}
+
+impl Store<Folder> {
+    /// Opens the store, or founds it with a new identity where the folder is empty. A store that
+    /// can't be read is refused, never emptied; a disk that refuses is tried until it answers.
+    pub fn open(path: &str, fresh_id: u64) -> Result<(Self, Stored), String> {
+        let mut told = false;
+        loop {
+            match Store::try_open(Path::new(path), fresh_id) {
+                Ok(store) => {
+                    let stored = store.state.clone();
+                    return Ok((store, stored));
+                }
+                Err(Trouble::Disk(why)) => {
+                    if !std::mem::replace(&mut told, true) {
+                        tracing::error!("store {path}: {why}; waiting for the disk");
+                    }
+                    std::thread::sleep(RETRY);
+                }
+                Err(Trouble::Unreadable(why)) => return Err(format!("store {path}: {why}")),
             }
-            if let Some(snapshot) = &write.snapshot {
-                batch.insert(&self.keys, SNAPSHOT, encode(snapshot)?);
-                self.drop_range(&mut batch, 0, snapshot.index)?;
+        }
+    }
+
+    fn try_open(path: &Path, fresh_id: u64) -> Result<Self, Trouble> {
+        std::fs::create_dir_all(path)?;
+        let bytes = match std::fs::read(path.join(FILE)) {
+            Ok(bytes) => bytes,
+            Err(e) if e.kind() == ErrorKind::NotFound => {
+                for entry in std::fs::read_dir(path)? {
+                    let name = entry?.file_name();
+                    if name != FRESH {
+                        let what = format!("{} is not a store's, and none is founded beside it", name.display());
+                        return Err(Trouble::Unreadable(what));
+                    }
+                }
+                let founded = Record::State(FORMAT, Stored { id: fresh_id, ..Stored::default() });
+                let bytes = framed(&founded)?;
+                Folder::write_whole(path, &bytes)?;
+                bytes
             }
-            for (index, entry) in &write.entries {
-                batch.insert(&self.keys, log_key(*index), encode(entry)?);
+            Err(e) => return Err(e.into()),
+        };
+        let (state, good) = read(&bytes)?;
+        let disk = Folder { path: path.to_owned(), file: Folder::open(path)? };
+        let (length, dirty) = (good as u64, good < bytes.len());
+        // What is read may not be on disk yet where a sync was under way when the process ended.
+        disk.file.sync_all()?;
+        Ok(Store { disk, state, length, whole: 0, dirty, doubtful: false })
+    }
+}
+
+impl<D: Disk> Store<D> {
+    /// Makes writes durable, together. On `Err` nothing of them is told as durable, and trying again
+    /// is safe.
+    fn write(&mut self, writes: &[Write]) -> Result<(), Trouble> {
+        let grown = self.length > ROOM.max(self.whole * ROOM_TIMES);
+        if self.doubtful || grown {
+            match self.write_whole(writes) {
+                Err(Trouble::Disk(_)) if !self.doubtful => {}
+                other => return other,
             }
         }
-        batch.commit().map_err(|e| e.to_string())?;
-        self.database.persist(PersistMode::SyncData).map_err(|e| e.to_string())
+        let bytes = framed(&Record::Writes(writes.to_vec()))?;
+        if std::mem::replace(&mut self.dirty, true) {
+            self.disk.cut(self.length)?;
+        }
+        self.disk.append(&bytes)?;
+        if let Err(e) = self.disk.sync() {
+            self.doubtful = true;
+            return Err(e.into());
+        }
+        self.dirty = false;
+        self.length += bytes.len() as u64;
+        self.settle(writes)
     }
 
-    fn drop_range(&self, batch: &mut fjall::OwnedWriteBatch, from: u64, to: u64) -> Result<(), String> {
-        for item in self.keys.range(log_key(from)..=log_key(to)) {
-            let key = item.key().map_err(|e| e.to_string())?;
-            batch.remove(&self.keys, key);
+    /// Writes the whole state, these writes in it, to a new file.
+    fn write_whole(&mut self, writes: &[Write]) -> Result<(), Trouble> {
+        let mut state = self.state.clone();
+        for write in writes {
+            state.take(write.clone());
         }
-        Ok(())
+        let bytes = framed(&Record::State(FORMAT, state))?;
+        if let Err(e) = self.disk.replace(&bytes) {
+            // Either file may be the one that is found next time: no other write before this succeeds.
+            self.doubtful = true;
+            return Err(e.into());
+        }
+        (self.length, self.whole) = (bytes.len() as u64, bytes.len() as u64);
+        (self.dirty, self.doubtful) = (false, false);
+        self.settle(writes)
+    }
+
+    fn settle(&mut self, writes: &[Write]) -> Result<(), Trouble> {
+        let fits = writes.iter().all(|w| self.state.take(w.clone()));
+        if fits { Ok(()) } else { Err(Trouble::Unreadable("a write left a gap in the log".into())) }
     }
+}
 
-    /// Writes on a thread of its own; tells the number of each write once it is durable, or why it
-    /// is not, after which nothing more is written.
-    pub fn run(self, done: smol::channel::Sender<Result<u64, String>>) -> mpsc::Sender<(u64, Write)> {
+impl<D: Disk + Send + 'static> Store<D> {
+    /// Writes on a thread of its own; tells the number of each write once it is durable, or why the
+    /// store can't be used any more, after which nothing more is written.
+    pub fn run(mut self, done: smol::channel::Sender<Result<u64, String>>) -> mpsc::Sender<(u64, Write)> {
         let (sender, receiver) = mpsc::channel::<(u64, Write)>();
         std::thread::spawn(move || {
-            while let Ok(first) = receiver.recv() {
-                let mut numbers = vec![first.0];
-                let mut writes = vec![first.1];
-                // A truncation looks at what is there, so it does not share a batch with what it
-                // would have to see.
-                while writes.iter().all(|w| w.truncate.is_none() && w.snapshot.is_none())
-                    && let Ok((number, write)) = receiver.try_recv()
-                {
-                    if write.truncate.is_some() || write.snapshot.is_some() {
-                        if let Err(why) = self.write(&writes) {
+            let mut failing = false;
+            while let Ok((mut number, first)) = receiver.recv() {
+                let mut writes = vec![first];
+                while let Ok((next, write)) = receiver.try_recv() {
+                    number = next;
+                    writes.push(write);
+                }
+                loop {
+                    match self.write(&writes) {
+                        Ok(()) => break,
+                        Err(Trouble::Disk(why)) => {
+                            if !std::mem::replace(&mut failing, true) {
+                                tracing::error!("the store can't be written for now: {why}");
+                            }
+                            std::thread::sleep(RETRY);
+                        }
+                        Err(Trouble::Unreadable(why)) => {
                             let _ = done.send_blocking(Err(why));
                             return;
                         }
-                        writes.clear();
                     }
-                    numbers.push(number);
-                    writes.push(write);
                 }
-                let result = self.write(&writes).map(|()| numbers.last().copied().unwrap_or(0));
-                let failed = result.is_err();
-                if done.send_blocking(result).is_err() || failed {
+                if std::mem::take(&mut failing) {
+                    tracing::info!("the store takes writes again");
+                }
+                if done.send_blocking(Ok(number)).is_err() {
                     return;
                 }
             }
@@ -166,3 +295,159 @@
         sender
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use brood::process::raft::{Entry, Snapshot, Voter};
+    use brood::version::ledger::{Command, Mark};
+
+    /// A disk with a power switch: what was synced, what was only written, and refusals by lot.
+    #[derive(Default)]
+    struct Memory {
+        synced: Vec<u8>,
+        written: Vec<u8>,
+        refuse: f64,
+        rng: fastrand::Rng,
+    }
+
+    impl Memory {
+        fn refuses(&mut self) -> io::Result<()> {
+            if self.rng.f64() < self.refuse { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
+        }
+        /// Any part of what was not synced may be there, in any order.
+        fn lose_power(&mut self) -> Vec<u8> {
+            let mut left = self.synced.clone();
+            let length = self.rng.usize(left.len().min(self.written.len())..=left.len().max(self.written.len()));
+            left.resize(length, 0);
+            for at in (0..length.min(self.written.len())).step_by(64) {
+                let end = (at + 64).min(length).min(self.written.len());
+                if at >= self.synced.len().saturating_sub(63) && self.rng.bool() {
+                    left[at.max(self.synced.len().min(end))..end]
+                        .copy_from_slice(&self.written[at.max(self.synced.len().min(end))..end]);
+                }
+            }
+            left
+        }
+    }
+
+    impl Disk for Memory {
+        fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+            let refused = self.refuses();
+            let part = if refused.is_err() { self.rng.usize(0..bytes.len()) } else { bytes.len() };
+            self.written.extend_from_slice(&bytes[..part]);
+            refused
+        }
+        fn sync(&mut self) -> io::Result<()> {
+            self.refuses()?;
+            self.synced = self.written.clone();
+            Ok(())
+        }
+        fn cut(&mut self, length: u64) -> io::Result<()> {
+            self.refuses()?;
+            self.written.truncate(length as usize);
+            Ok(())
+        }
+        fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+            self.refuses()?;
+            (self.synced, self.written) = (bytes.to_vec(), bytes.to_vec());
+            Ok(())
+        }
+    }
+
+    fn over(disk: Memory, bytes: &[u8]) -> Store<Memory> {
+        let (state, good) = read(bytes).expect("what was synced opens");
+        let dirty = good < bytes.len();
+        Store { disk, state, length: good as u64, whole: 0, dirty, doubtful: false }
+    }
+
+    fn some_write(rng: &mut fastrand::Rng, state: &Stored) -> Write {
+        let last = state.snapshot.index + state.log.len() as u64;
+        let entry =
+            |i: u64| (i, Entry { term: i, mark: Mark::default(), command: Command::Drain { id: format!("i{i}") } });
+        match rng.u8(0..6) {
+            0 => Write { hard: Some((state.term + 1, Some(rng.u64(..)))), ..Write::default() },
+            1 if !state.log.is_empty() => {
+                let voters = vec![Voter { id: 7, ip: std::net::Ipv4Addr::LOCALHOST }];
+                let snapshot = Snapshot { index: state.snapshot.index + 1, term: 1, voters, state: vec![3; 300] };
+                Write { snapshot: Some(snapshot), ..Write::default() }
+            }
+            2 if !state.log.is_empty() => {
+                Write { truncate: Some(last), entries: vec![entry(last)], ..Write::default() }
+            }
+            _ => Write { entries: vec![entry(last + 1), entry(last + 2)], ..Write::default() },
+        }
+    }
+
+    #[test]
+    fn power_lost_at_any_moment_takes_only_what_was_not_told() {
+        for seed in 0..300 {
+            let founded = framed(&Record::State(FORMAT, Stored { id: 7, ..Stored::default() })).expect("framed");
+            let rng = fastrand::Rng::with_seed(seed);
+            let disk = Memory { synced: founded.clone(), written: founded.clone(), refuse: 0.2, rng };
+            let mut store = over(disk, &founded);
+            let mut told = store.state.clone();
+            let mut rng = fastrand::Rng::with_seed(seed + 1000);
+            for _ in 0..rng.usize(1..20) {
+                let write = some_write(&mut rng, &told);
+                let mut with = told.clone();
+                assert!(with.take(write.clone()));
+                // The last try may be cut short by the loss of power.
+                if rng.u8(0..12) == 0 {
+                    let _ = store.write(std::slice::from_ref(&write));
+                    let left = store.disk.lose_power();
+                    let (found, _) = read(&left).unwrap_or_else(|e| panic!("seed {seed}: {e:?}"));
+                    assert!(found == told || found == with, "seed {seed}");
+                    told = found;
+                    let rng = std::mem::take(&mut store.disk.rng);
+                    let disk = Memory { synced: left.clone(), written: left.clone(), refuse: 0.2, rng };
+                    store = over(disk, &left);
+                    continue;
+                }
+                while store.write(std::slice::from_ref(&write)).is_err() {}
+                told = with;
+                assert_eq!(read(&store.disk.synced).expect("synced").0, told, "seed {seed}");
+            }
+        }
+    }
+
+    #[test]
+    fn damage_is_refused_and_a_torn_end_is_not() {
+        let record = |term| {
+            let write = Write { hard: Some((term, None)), ..Write::default() };
+            framed(&Record::Writes(vec![write])).expect("framed")
+        };
+        let mut bytes = framed(&Record::State(FORMAT, Stored { id: 7, ..Stored::default() })).expect("framed");
+        let first = bytes.len();
+        bytes.extend(record(1));
+        let second = bytes.len();
+        bytes.extend(record(2));
+        assert_eq!(read(&bytes).expect("whole").0.term, 2);
+        assert_eq!(read(&bytes[..bytes.len() - 1]).expect("torn").0.term, 1);
+        for (at, what) in [(2, "the first"), (first + 13, "a middle")] {
+            let mut bad = bytes.clone();
+            bad[at] ^= 1;
+            assert!(read(&bad).is_err(), "{what} record damaged");
+        }
+        bytes[second + 13] ^= 1;
+        assert_eq!(read(&bytes).expect("a bad end was never told").0.term, 1);
+    }
+
+    #[test]
+    fn on_a_real_folder_the_state_comes_back_and_strangers_are_refused() {
+        let path = std::env::temp_dir().join(format!("queen-store-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("a folder");
+        std::fs::write(path.join(FRESH), b"half a founding").expect("laid");
+        let mut store = Store::try_open(&path, 3).expect("founded");
+        store.write(&[Write { hard: Some((4, Some(3))), ..Write::default() }]).expect("written");
+        store.write_whole(&[Write { hard: Some((5, None)), ..Write::default() }]).expect("written anew");
+        drop(store);
+        let store = Store::try_open(&path, 9).expect("opened");
+        assert_eq!((store.state.id, store.state.term), (3, 5));
+        std::fs::remove_file(path.join(FILE)).expect("removed");
+        std::fs::write(path.join("0.jnl"), b"of an earlier version").expect("laid");
+        assert!(matches!(Store::try_open(&path, 9), Err(Trouble::Unreadable(_))));
+        std::fs::remove_dir_all(&path).expect("removed");
+    }
+}
