A leaving is in the log whoever hears of it, and nothing soft undoes it

Cause (the users' 'a leaving that nobody noticed after a control process had returned at once'; scenario): a DELETE was acknowledged from memory, and a queen that had just returned knew no such instance, so nobody heard; a forager dropped a drain told before the instance itself, and a late 'ready' undid it; a restarted queen could name a leaving instance. Ruled out: the drain's own entry, which a restart keeps. Now DELETE is logged like 'draining', foragers keep the log's drains, and duties look at the ledger first. Before and after: scenario leaving_noted_by_one_that_restarts broke DRAIN, now holds; the judge checks DRAIN in every scenario.

--- a/apiary/src/instance.rs
+++ b/apiary/src/instance.rs
@@ -46,6 +46,10 @@
     pub received: (u64, u64),
     pub lines: HashMap<u64, Line>,
     pub lose: bool,
+    /// Says nothing more of itself.
+    pub quiet: bool,
+    /// When a daemon acknowledged that it leaves.
+    pub leave_acked: Option<std::time::Duration>,
 }
 
 impl Instance {
@@ -65,6 +69,8 @@
             received: (1, 0),
             lines: HashMap::new(),
             lose: false,
+            quiet: false,
+            leave_acked: None,
         }
     }
 
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -129,6 +129,10 @@
     pub sync: Duration,
 }
 
+/// Tokens of calls by which an instance says that it leaves.
+const LEAVING: u64 = 3_000_000;
+const DRAIN: Duration = Duration::from_secs(7);
+
 const ROUTES: [&str; 3] = ["db-primary", "db-bounded", "db-own"];
 const STALE: Duration = Duration::from_millis(1500);
 
@@ -618,6 +622,11 @@
                         400..=499 => self.refused += 1,
                         _ => {}
                     }
+                } else if token >= LEAVING {
+                    if response.status == 200 {
+                        let (now, at) = (self.now, (token - LEAVING) as usize);
+                        self.instances[at].leave_acked.get_or_insert(now);
+                    }
                 } else if token >= 2_000_000 {
                     self.raced += usize::from(response.status == 200);
                 }
@@ -703,13 +712,14 @@
         if self.instances[i].gone {
             return;
         }
-        if self.instances[i].up && !self.instances[i].dark {
+        if self.instances[i].up && !self.instances[i].dark && !self.instances[i].quiet {
             let body = self.instances[i].beat(SERVICE);
+            let token = if self.instances[i].draining { LEAVING + i as u64 } else { 0 };
             let at: Vec<usize> = (0..self.queens).filter(|q| self.nodes[*q].up && !self.nodes[*q].frozen).collect();
             if !at.is_empty() {
                 let q = at[self.rng.usize(0..at.len())];
                 let path = format!("/api/instances/{}", self.instances[i].id);
-                self.http(q, 0, "PUT", &path, None, body.into_bytes());
+                self.http(q, token, "PUT", &path, None, body.into_bytes());
             }
         }
         self.after(BEAT, Event::Beat(i));
@@ -769,6 +779,10 @@
             self.conns.remove(&(n, life, conn));
             return self.after(Duration::from_millis(1), Event::FromInstance(n, life, conn, i, None));
         }
+        let leaves = self.instances[i].leave_acked;
+        if text.contains("QUERY c") && leaves.is_some_and(|at| self.now > at + DRAIN) {
+            self.judge.breaks(self.now, format!("DRAIN: n{n} sends {text:?} to {}", self.instances[i].id));
+        }
         self.instances[i].follow(self.now, &self.log);
         let (answer, end) =
             self.instances[i].take(self.now, line_key((n, life, conn)), text, &mut self.log, &mut self.judge);
@@ -1068,6 +1082,22 @@
                 }
                 self.revision = current + 2;
             }
+            // One that has nothing to drain says only that it ends, once, at one daemon.
+            "quit" => {
+                let replica = self.instances.iter().position(|i| !i.primary && i.up && !i.draining && !i.gone);
+                if let (Some(i), Some(q)) = (replica, self.any_queen()) {
+                    self.add_instance(false);
+                    let path = format!("/api/instances/{}", self.instances[i].id);
+                    self.instances[i].quiet = true;
+                    self.http(q, LEAVING + i as u64, "DELETE", &path, None, Vec::new());
+                    self.plan(self.now + Duration::from_secs(9), &format!("gone {}", self.instances[i].id.clone()));
+                }
+            }
+            // Whoever was told last that an instance leaves dies and is back at once.
+            "bounce" => self.target(who).into_iter().for_each(|n| {
+                self.stop(n, false);
+                self.start(n, false);
+            }),
             "kill" => self.target(who).into_iter().for_each(|n| self.stop(n, false)),
             "power" => self.target(who).into_iter().for_each(|n| self.stop(n, true)),
             // Gone for good, and an empty machine at another address in its place.
@@ -1138,7 +1168,8 @@
             "keepanswers" => self.instances.iter_mut().for_each(|i| i.lose = false),
             "drain" => {
                 self.add_instance(false);
-                if let Some(i) = self.primary() {
+                let replica = self.instances.iter().position(|i| !i.primary && i.up && !i.draining && !i.gone);
+                if let Some(i) = if who == "replica" { replica } else { self.primary() } {
                     self.instances[i].draining = true;
                     let at = self.instances[i].id.clone();
                     self.after(Duration::ZERO, Event::Beat(i));
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -161,6 +161,14 @@
     pub confirm: Duration,
 }
 
+impl Scene<'_> {
+    /// Whether an instance leaves: by the log, which a queen that has just started knows already, or
+    /// by what it says itself.
+    fn leaves(&self, id: &str) -> bool {
+        self.ledger.drains.iter().any(|d| d == id) || self.registry.get(id).is_some_and(|i| i.draining)
+    }
+}
+
 impl Duties {
     pub fn new(now: Instant, node: &str, bounds: Bounds, beat: Duration, platform: Option<Platform>) -> Self {
         Duties {
@@ -363,8 +371,8 @@
     ) -> Option<String> {
         let now = scene.now;
         let instance = scene.registry.get(primary);
-        if scene.ledger.drains.iter().any(|d| d == primary) || instance.is_some_and(|i| i.draining || i.gone) {
-            let heir = scene.registry.of_service(service).any(|i| i.id != primary && !i.draining);
+        if scene.leaves(primary) || instance.is_some_and(|i| i.gone) {
+            let heir = scene.registry.of_service(service).any(|i| i.id != primary && !scene.leaves(&i.id));
             return heir.then(|| "the primary leaves".to_owned());
         }
         let (mut failing, mut healthy, mut deposed) = (0, 0, 0);
@@ -445,8 +453,7 @@
             })
             .max();
         let old_alive = matches!(fresh.get(epoch.primary.as_str()), Some(Probed::Status { primary: true, .. }));
-        let old_stays = instances.iter().any(|i| i.id == epoch.primary && !i.draining)
-            && !scene.ledger.drains.contains(&epoch.primary);
+        let old_stays = instances.iter().any(|i| i.id == epoch.primary) && !scene.leaves(&epoch.primary);
         if let Some((term, id)) = leads {
             let newer = term > epoch.term;
             let spared = id == epoch.primary && term == epoch.term && old_stays && epoch.named.is_none();
@@ -473,18 +480,17 @@
             work.called = None;
         }
         work.refused.retain(|_, at| now.duration_since(*at) < REFUSED_KEEP);
+        let eligible =
+            |i: &&Instance| i.id != epoch.primary && !scene.leaves(&i.id) && !work.refused.contains_key(&i.id);
         let candidates: Vec<(&Instance, Position)> = instances
             .iter()
-            .filter(|i| i.id != epoch.primary && !i.draining && !work.refused.contains_key(&i.id))
+            .filter(eligible)
             .filter_map(|i| match fresh.get(i.id.as_str()) {
                 Some(Probed::Status { received, .. }) => Some((i, *received)),
                 _ => None,
             })
             .collect();
-        let expected = instances
-            .iter()
-            .filter(|i| i.id != epoch.primary && !i.draining && !work.refused.contains_key(&i.id))
-            .count();
+        let expected = instances.iter().filter(eligible).count();
         if candidates.len() < expected && now < clear + CENSUS {
             return;
         }
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -91,6 +91,11 @@
 /// While leaving, a session silent for this long is taken to be at rest: values and names that a
 /// client has just sent are the start of an operation.
 const QUIET: Duration = Duration::from_millis(200);
+/// Drains that are remembered: as many as the ledger keeps.
+const KEPT_DRAINS: usize = crate::version::ledger::KEPT_DRAINS;
+/// Share of `drain-ms` in which a leaving primary is used while no other has taken over; the rest is
+/// for the news' way here and the request's way there.
+const DRAIN_USE: f64 = 0.6;
 /// How many bytes of statements a session may queue.
 const QUEUE_MAX: usize = 2 << 20;
 
@@ -136,6 +141,8 @@
     sessions: HashMap<SessionId, Session>,
     conns: HashMap<ConnId, Conn>,
     bees: BTreeMap<String, Bee>,
+    /// Instances that leave, by the log, and since when this daemon knows; the newest last.
+    drains: VecDeque<(String, Instant)>,
     services: BTreeMap<String, Service>,
     parts: BTreeMap<String, u32>,
     next_conn: ConnId,
@@ -171,6 +178,7 @@
             sessions: HashMap::new(),
             conns: HashMap::new(),
             bees: BTreeMap::new(),
+            drains: VecDeque::new(),
             services: BTreeMap::new(),
             parts: BTreeMap::new(),
             next_conn: 1,
@@ -247,7 +255,15 @@
                         bee.fails = 0;
                     }
                 }
-                Value::Drain { id } => self.drain(now, id),
+                Value::Drain { id } => {
+                    if !self.drains.iter().any(|(d, _)| d == id) {
+                        self.drains.push_back((id.clone(), now));
+                        if self.drains.len() > KEPT_DRAINS {
+                            self.drains.pop_front();
+                        }
+                    }
+                    self.drain(now, now, id);
+                }
                 Value::Shares(parts) => {
                     self.parts = parts.clone();
                     self.shrink(now);
@@ -295,18 +311,19 @@
                 self.lose_conn(now, conn, true);
             }
         }
-        if instance.draining || instance.gone {
-            self.drain(now, &instance.id);
+        // What the log says stands, whatever a late beat tells.
+        if let Some((_, since)) = self.drains.iter().find(|(d, _)| *d == instance.id).cloned() {
+            self.drain(now, since, &instance.id);
+        } else if instance.draining || instance.gone {
+            self.drain(now, now, &instance.id);
         } else if let Some(bee) = self.bees.get_mut(&instance.id) {
-            // It says itself that it is ready: an instance that drained does not come back under its id
-            // unless it began anew.
             bee.drains_since = None;
         }
     }
 
-    fn drain(&mut self, now: Instant, id: &str) {
+    fn drain(&mut self, now: Instant, since: Instant, id: &str) {
         let Some(bee) = self.bees.get_mut(id) else { return };
-        bee.drains_since.get_or_insert(now);
+        bee.drains_since.get_or_insert(since);
         let gone = bee.instance.gone;
         let waiting: Vec<SessionId> = bee.waiting.drain(..).collect();
         let conns = bee.conns.clone();
@@ -784,7 +801,7 @@
         match bee.drains_since {
             None => true,
             // A primary serves until it is replaced, but never up to the bound.
-            Some(since) => primary && now.duration_since(since) < self.bounds.drain().mul_f64(0.7),
+            Some(since) => primary && now.duration_since(since) < self.bounds.drain().mul_f64(DRAIN_USE),
         }
     }
 
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -625,7 +625,7 @@
             (method, path) => match path.strip_prefix("/api/instances/") {
                 Some(id) if !id.is_empty() && !id.contains('/') => match method {
                     "PUT" => self.beat(now, token, id, &request.body),
-                    "DELETE" => Some(self.instance_leaves(now, id)),
+                    "DELETE" => self.instance_ends(now, token, id),
                     _ => Some(Response::error(405, "PUT or DELETE")),
                 },
                 _ => Some(Response::error(404, "no such path")),
@@ -687,20 +687,25 @@
             self.spread(fact);
             self.duty_due = now;
         }
-        if draining && !self.ledger.drains.iter().any(|d| d == id) {
-            let by = now + ANSWER_BY;
-            self.propose(now, Command::Drain { id: id.to_owned() }, Purpose::Answer(token, by));
-            return None;
+        if draining { self.note_leaving(now, token, id) } else { Some(Response::ok()) }
+    }
+
+    /// That an instance leaves is in the log before anybody hears so: whatever restarts, it stays known.
+    fn note_leaving(&mut self, now: Instant, token: Token, id: &str) -> Option<Response> {
+        if self.ledger.drains.iter().any(|d| d == id) {
+            return Some(Response::ok());
         }
-        Some(Response::ok())
+        let by = now + ANSWER_BY;
+        self.propose(now, Command::Drain { id: id.to_owned() }, Purpose::Answer(token, by));
+        None
     }
 
-    fn instance_leaves(&mut self, now: Instant, id: &str) -> Response {
+    fn instance_ends(&mut self, now: Instant, token: Token, id: &str) -> Option<Response> {
         if let Some(fact) = self.registry.leave(now, id) {
             self.spread(fact);
             self.duty_due = now;
         }
-        Response::ok()
+        self.note_leaving(now, token, id)
     }
 
     /// To the own children in the tree, and to the other roots for theirs.
--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -99,7 +99,7 @@
 /// How many results per proposer, accepted configurations, drains and reports are kept.
 const KEPT_RESULTS: usize = 64;
 const KEPT_ACCEPTED: usize = 64;
-const KEPT_DRAINS: usize = 256;
+pub const KEPT_DRAINS: usize = 256;
 const KEPT_REPORTS: usize = 16;
 const KEPT_PROPOSERS: usize = 64;
 
