Openings are bounded, a busy instance gets fewer statements, dials give up sooner

Ruled out: the 3 s for which instances keep dark connections (theirs; nothing helps). Now two openings at once per instance, a resting connection is taken only after 150 ms, a window per instance narrows on BUSY, dials end after 250 ms.

--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -63,6 +63,17 @@
 const OPEN_AFTER: f64 = 0.35;
 /// What opening a connection is taken to cost when instances are compared, in ms.
 const OPEN_COST: f64 = 8.0;
+/// Connections to one instance that are opened at the same time: each takes one of its slots for a while.
+const OPENING_MAX: usize = 2;
+/// A tenant that has connections to an instance takes another tenant's only if that rested this long.
+const RESTED: Duration = Duration::from_millis(150);
+/// How soon it is looked again whether a connection may be opened.
+const OPEN_AGAIN: Duration = Duration::from_millis(40);
+/// An instance that answers `BUSY` gets fewer statements at once, by this factor and not more often
+/// than this; each answer lets a part of one more through.
+const NARROW: f64 = 0.7;
+const NARROW_PAUSE: Duration = Duration::from_millis(40);
+const WIDEST: f64 = 64.0;
 /// Instances that refused or fell silent are passed over for this long.
 const SHUN: Duration = Duration::from_millis(250);
 /// A connection being opened or readied is given up after this long.
@@ -114,6 +125,9 @@
     /// Answer time, smoothed, in ms.
     pace: f64,
     drains_since: Option<Instant>,
+    /// How many statements may be with it at once, and when that was last lowered.
+    window: f64,
+    narrowed: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -301,6 +315,8 @@
             position: None,
             pace: 10.0,
             drains_since: None,
+            window: WIDEST,
+            narrowed: None,
         });
         let moved = bee.address != address;
         bee.instance = instance.clone();
@@ -976,7 +992,7 @@
                 }
             }
         }
-        if let Some(conn) = idle {
+        if let Some(conn) = idle.filter(|_| self.has_room(id)) {
             return self.give(now, sid, conn, epoch);
         }
         if let Some(bee) = self.bees.get_mut(id)
@@ -1003,6 +1019,30 @@
         }
     }
 
+    /// Statements that are with an instance and not answered.
+    fn in_flight(&self, bee: &Bee) -> usize {
+        let asked = |c: &&Conn| c.usage != Use::Opening && !c.expect.is_empty();
+        bee.conns.iter().filter_map(|c| self.conns.get(c)).filter(asked).count()
+    }
+
+    /// Whether an instance may be given one more.
+    fn has_room(&self, id: &str) -> bool {
+        self.bees.get(id).is_some_and(|b| b.window >= WIDEST || (self.in_flight(b) as f64) < b.window.max(1.0))
+    }
+
+    /// It has more than it takes: fewer at once, until answers show that more is welcome.
+    fn narrow(&mut self, now: Instant, id: &str) {
+        let Some(bee) = self.bees.get(id) else { return };
+        if bee.narrowed.is_some_and(|at| now.duration_since(at) < NARROW_PAUSE) {
+            return;
+        }
+        let window = (self.in_flight(bee) as f64 + 1.0).min(bee.window) * NARROW;
+        if let Some(bee) = self.bees.get_mut(id) {
+            bee.window = window.max(1.0);
+            bee.narrowed = Some(now);
+        }
+    }
+
     /// New connections are dear: a tenant that has some here waits a little for one of them first.
     fn may_open(&self, now: Instant, sid: SessionId, id: &str) -> bool {
         let Some(op) = self.sessions.get(&sid).and_then(|s| s.op.as_ref()) else { return false };
@@ -1029,15 +1069,19 @@
             .iter()
             .filter(|s| self.sessions.get(s).and_then(|s| s.op.as_ref()).is_some_and(|o| o.tenant == tenant))
             .count();
-        if opening >= wanting {
+        let all_opening =
+            bee.conns.iter().filter(|c| self.conns.get(c).is_some_and(|c| c.usage == Use::Opening)).count();
+        if opening >= wanting || all_opening >= OPENING_MAX {
             return;
         }
+        let has_some = bee.conns.iter().any(|c| self.conns.get(c).is_some_and(|c| c.tenant == tenant));
         let service = bee.instance.service.clone();
         if bee.conns.len() >= self.share(&service) {
             let spare = bee
                 .conns
                 .iter()
                 .filter(|c| self.conns.get(c).is_some_and(|c| c.usage == Use::Idle && c.tenant != tenant))
+                .filter(|c| !has_some || self.conns.get(c).is_some_and(|c| now.duration_since(c.since) >= RESTED))
                 .min_by_key(|c| self.conns.get(c).map(|c| c.since))
                 .copied();
             match spare {
@@ -1299,6 +1343,9 @@
         };
         // Nothing of the client's was sent. The connection's values are uncertain now.
         let (id, in_tx) = (c.instance.clone(), c.state != 'I');
+        if code == "BUSY" {
+            self.narrow(now, &id);
+        }
         let lagging = code == "LAGGING";
         if lagging && !in_tx {
             self.free(now, conn);
@@ -1356,6 +1403,12 @@
         if let Some(bee) = self.bees.get_mut(&id) {
             let took = now.duration_since(sent).as_secs_f64() * 1000.0;
             bee.pace += (took - bee.pace) * 0.1;
+            if answer.code.is_none() && bee.window < WIDEST {
+                bee.window += 1.0 / bee.window;
+            }
+            if !bee.waiting.is_empty() && !self.ready_bees.contains(&id) {
+                self.ready_bees.push(id.clone());
+            }
         }
         let Some(session) = self.sessions.get(&sid) else { return };
         let Some(op) = &session.op else { return };
@@ -1371,9 +1424,14 @@
             let Some(session) = self.sessions.get(&sid) else { return };
             let Some(op) = &session.op else { return };
             let alone = matches!(session.tx, Tx::None) || (first && session.tx_sent == 1);
-            if is_promise(code) && alone && op.what != What::Commit {
-                let code = code.clone();
-                if matches!(session.tx, Tx::None) {
+            let (code, promise) = (code.clone(), is_promise(code));
+            let again = promise && alone && op.what != What::Commit;
+            let alone_at_rest = matches!(session.tx, Tx::None);
+            if code == "BUSY" {
+                self.narrow(now, &id);
+            }
+            if again {
+                if alone_at_rest {
                     self.free(now, conn);
                 } else {
                     self.roll_back(now, conn);
@@ -1501,7 +1559,7 @@
     /// Seats the best waiting request for which there is an idle connection; orders are rank, then age.
     fn serve_one(&mut self, now: Instant, id: &str) -> bool {
         let Some(bee) = self.bees.get(id) else { return false };
-        if bee.waiting.is_empty() {
+        if bee.waiting.is_empty() || !self.has_room(id) {
             return false;
         }
         let mut best: Option<(u32, Instant, SessionId, ConnId)> = None;
@@ -1759,6 +1817,7 @@
                 let at = self.bees.iter().find(|(_, b)| b.waiting.contains(&sid)).map(|(id, _)| id.clone());
                 if let Some(id) = at.filter(|id| self.may_open(now, sid, id)) {
                     self.open_for(now, &id, &tenant);
+                    self.timers.push(Reverse((now + OPEN_AGAIN, Timer::Open(sid, number))));
                 }
             }
             Timer::Retry(sid, number) => {
--- a/comb/src/links.rs
+++ b/comb/src/links.rs
@@ -12,7 +12,9 @@
 
 /// First bytes of a link, followed by the dialler's address.
 const MAGIC: &[u8; 8] = b"lichen-1";
-const DIAL: Duration = Duration::from_millis(800);
+/// Shorter than the second after which a lost opening packet goes out again: a peer that was down when
+/// it was first called answers the next call.
+const DIAL: Duration = Duration::from_millis(250);
 /// A peer that acknowledges nothing for this long is given up; the next message dials anew.
 const SILENCE: Duration = Duration::from_millis(1500);
 /// After a failed dial, messages are dropped for this long.
