queen config history: who changed what and when, kept with the state

Two operators racing ask which daemon took which change. The entry names the daemon and its time of day; applying it notes what was added, removed and changed by name, without keys, for the last 64 changes. GET /api/history and 'queen config history'. Test: ledger.

--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -127,6 +127,8 @@
     join_due: Instant,
     gossip_due: Instant,
     duty_due: Instant,
+    /// The time of day at the last tick, since 1970.
+    wall: Duration,
     was: Role,
     pending: VecDeque<Effect>,
 }
@@ -171,6 +173,7 @@
             join_due: now,
             gossip_due: now + GOSSIP / 2,
             duty_due: now,
+            wall: Duration::ZERO,
             was: Role::Follower,
             pending: VecDeque::new(),
         };
@@ -549,6 +552,7 @@
 
     /// `wall` is the time of day since 1970.
     pub fn tick(&mut self, now: Instant, wall: Duration) {
+        self.wall = wall;
         self.raft.tick(now);
         self.turn(now);
         if now >= self.hello_due {
@@ -621,6 +625,10 @@
         match (request.method.as_str(), path.as_str()) {
             ("PUT", "/api/config") => self.put_config(now, token, request),
             ("GET", "/api/config") => self.get_config(now, token),
+            ("GET", "/api/history") => {
+                let history = serde_json::to_value(&self.ledger.history).unwrap_or_default();
+                Some(Response::json(200, &serde_json::json!({ "changes": history })))
+            }
             ("GET", "/api/status") => Some(Response::json(200, &self.status(now))),
             (method, path) => match path.strip_prefix("/api/instances/") {
                 Some(id) if !id.is_empty() && !id.contains('/') => match method {
@@ -644,7 +652,11 @@
             return Some(Response::error(503, "no leader; ask again"));
         }
         let by = now + ANSWER_CONFIG_BY;
-        self.propose(now, Command::Configure { if_match, raw: request.body }, Purpose::Answer(token, by));
+        self.propose(
+            now,
+            Command::Configure { if_match, raw: request.body, by: self.card.name.clone(), at: self.wall },
+            Purpose::Answer(token, by),
+        );
         None
     }
 
--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -4,7 +4,8 @@
 use super::config;
 use crate::process::raft::Voter;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
@@ -13,6 +14,9 @@
     Configure {
         if_match: u64,
         raw: Vec<u8>,
+        /// The daemon that took the call, and the time of day there, since 1970.
+        by: String,
+        at: Duration,
     },
     /// No lease is given for this epoch any more: the primary is about to be replaced.
     Close {
@@ -96,6 +100,56 @@
     pub holder: String,
 }
 
+/// What one accepted configuration changed, for operators; no keys.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    pub revision: u64,
+    pub built_on: u64,
+    pub by: String,
+    pub at: Duration,
+    pub routes: Difference,
+    pub backends: Difference,
+    pub customers: Difference,
+}
+
+/// Names that were added, removed, or stand for something else now.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Difference {
+    pub added: Vec<String>,
+    pub removed: Vec<String>,
+    pub changed: Vec<String>,
+}
+
+impl Difference {
+    fn between<T: PartialEq>(old: &[T], new: &[T], name: impl Fn(&T) -> &String) -> Self {
+        let index =
+            |all| -> BTreeMap<String, &T> { Iterator::map(<[T]>::iter(all), |x| (name(x).clone(), x)).collect() };
+        let (old, new) = (index(old), index(new));
+        let mut names: BTreeSet<&String> = old.keys().collect();
+        names.extend(new.keys());
+        let mut difference = Difference::default();
+        for name in names {
+            match (old.get(name), new.get(name)) {
+                (None, Some(_)) => difference.added.push(name.clone()),
+                (Some(_), None) => difference.removed.push(name.clone()),
+                (was, is) if was != is => difference.changed.push(name.clone()),
+                _ => {}
+            }
+        }
+        for names in [&mut difference.added, &mut difference.removed, &mut difference.changed] {
+            if names.len() > KEPT_NAMES {
+                let more = names.len() - KEPT_NAMES;
+                names.truncate(KEPT_NAMES);
+                names.push(format!("and {more} more"));
+            }
+        }
+        difference
+    }
+}
+
+/// Changes of the configuration that are told of, and names in each.
+const KEPT_HISTORY: usize = 64;
+const KEPT_NAMES: usize = 20;
 /// How many results per proposer, accepted configurations, drains and reports are kept.
 const KEPT_RESULTS: usize = 64;
 const KEPT_ACCEPTED: usize = 64;
@@ -117,6 +171,7 @@
     pub usage_holder: Option<String>,
     results: VecDeque<(u64, VecDeque<(u64, Outcome)>)>,
     pub voters: Vec<Voter>,
+    pub history: VecDeque<Change>,
     /// When each fact last changed, as a log index.
     pub changed: BTreeMap<String, u64>,
 }
@@ -170,7 +225,7 @@
     fn decide(&mut self, command: &Command) -> Outcome {
         match command {
             Command::Noop => {}
-            Command::Configure { if_match, raw } => return self.configure(*if_match, raw),
+            Command::Configure { if_match, raw, by, at } => return self.configure(*if_match, raw, by, *at),
             Command::Close { service, epoch } => {
                 let Some(e) = self.epochs.get_mut(service).filter(|e| e.epoch == *epoch) else {
                     return Outcome::Outrun { current: 0 };
@@ -231,7 +286,7 @@
         Outcome::Done
     }
 
-    fn configure(&mut self, if_match: u64, raw: &[u8]) -> Outcome {
+    fn configure(&mut self, if_match: u64, raw: &[u8], by: &str, at: Duration) -> Outcome {
         let digest = crate::process::repair::digest(raw) ^ if_match;
         if self.accepted.contains(&digest) {
             return Outcome::Done;
@@ -247,6 +302,20 @@
         if document.revision <= current {
             return Outcome::Invalid { why: format!("revision {} is not above {current}", document.revision) };
         }
+        let old = self.config.as_ref().and_then(|c| config::read(&c.raw).ok());
+        let (routes, backends, customers) = old.map_or_else(Default::default, |o| (o.routes, o.backends, o.customers));
+        self.history.push_back(Change {
+            revision: document.revision,
+            built_on: current,
+            by: by.to_owned(),
+            at,
+            routes: Difference::between(&routes, &document.routes, |r| &r.name),
+            backends: Difference::between(&backends, &document.backends, |b| &b.name),
+            customers: Difference::between(&customers, &document.customers, |c| &c.name),
+        });
+        if self.history.len() > KEPT_HISTORY {
+            self.history.pop_front();
+        }
         self.config = Some(Version { revision: document.revision, raw: raw.to_vec() });
         self.accepted.push_back(digest);
         if self.accepted.len() > KEPT_ACCEPTED {
@@ -270,7 +339,8 @@
         let mut ledger = Ledger::default();
         let mut put = |if_match, raw: &[u8]| {
             let index = ledger.index + 1;
-            ledger.apply(index, Mark::default(), &Command::Configure { if_match, raw: raw.to_vec() })
+            let (raw, by, at) = (raw.to_vec(), "queen-1".to_owned(), Duration::from_secs(index));
+            ledger.apply(index, Mark::default(), &Command::Configure { if_match, raw, by, at })
         };
         assert_eq!(put(0, &document(3)), Outcome::Done);
         assert_eq!(put(3, &document(5)), Outcome::Done);
@@ -279,6 +349,8 @@
         assert!(matches!(put(5, &document(5)), Outcome::Invalid { .. }));
         assert!(matches!(put(5, b"{"), Outcome::Invalid { .. }));
         assert_eq!(ledger.revision(), 5);
+        let told: Vec<(u64, u64)> = ledger.history.iter().map(|c| (c.revision, c.built_on)).collect();
+        assert_eq!(told, [(3, 0), (5, 3)], "who changed what: only what was taken, once");
     }
 
     #[test]
--- a/queen/src/client.rs
+++ b/queen/src/client.rs
@@ -72,6 +72,28 @@
     finish(call(at, "PUT", "/api/config", &[("if-match", if_match.to_string())], &raw), |_| println!("taken"))
 }
 
+/// One line a change, and one for each kind of thing that it touched.
+pub fn history(at: SocketAddrV4, json: bool) -> ExitCode {
+    finish(call(at, "GET", "/api/history", &[], &[]), |text| {
+        let read = serde_json::from_str::<serde_json::Value>(text).ok();
+        let changes = read.as_ref().and_then(|v| v["changes"].as_array());
+        let Some(changes) = changes.filter(|_| !json) else { return println!("{text}") };
+        for change in changes {
+            let when = change["at"]["secs"].as_u64().unwrap_or(0);
+            println!("{} on {} by {} at {when}", change["revision"], change["built_on"], change["by"]);
+            for kind in ["routes", "backends", "customers"] {
+                for how in ["added", "removed", "changed"] {
+                    let names: Vec<&str> =
+                        change[kind][how].as_array().into_iter().flatten().filter_map(|n| n.as_str()).collect();
+                    if !names.is_empty() {
+                        println!("  {kind} {how}: {}", names.join(", "));
+                    }
+                }
+            }
+        }
+    })
+}
+
 pub fn status(at: SocketAddrV4, json: bool) -> ExitCode {
     finish(call(at, "GET", "/api/status", &[], &[]), |text| {
         if json {
--- a/queen/src/main.rs
+++ b/queen/src/main.rs
@@ -55,6 +55,14 @@
         if_match: u64,
         file: String,
     },
+    /// Shows the last changes: what, when, and which daemon took them.
+    History {
+        #[arg(long)]
+        at: std::net::SocketAddrV4,
+        /// Prints JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Checks a configuration file as the service would.
     Check { file: String },
 }
@@ -64,6 +72,7 @@
     match args.verb {
         Some(Verb::Config { verb: ConfigVerb::Check { file } }) => client::check(&file),
         Some(Verb::Config { verb: ConfigVerb::Get { at } }) => client::get(at),
+        Some(Verb::Config { verb: ConfigVerb::History { at, json } }) => client::history(at, json),
         Some(Verb::Config { verb: ConfigVerb::Put { at, if_match, file } }) => client::put(at, if_match, &file),
         Some(Verb::Status { at, json }) => client::status(at, json),
         Some(Verb::Check) => serve(args.settings, true),
