Few connections are held by few foragers, which serve the others' sessions

Weighed: shares by demand alone (below one all the same), single statements handed over (a second pool's state on every hop), whole sessions (chosen: one session has one database, so one service; values, leases and freshness stay in one place). Where the cap gives fewer than 4 each, a few foragers in different zones, by rendezvous hashing, hold them all, and a tenant's sessions go to one of them. Both tell each other the version they go by, so that nobody goes back. Small sites hold their own as before.

--- a/brood/src/connection/lines.rs
+++ b/brood/src/connection/lines.rs
@@ -33,6 +33,11 @@
         self.buffer.len() - self.start
     }
 
+    /// Whether what waits begins with this word.
+    pub fn begins(&self, word: &str) -> bool {
+        self.buffer[self.start..].starts_with(word.as_bytes())
+    }
+
     pub fn next_line(&mut self) -> Next {
         let from = self.scanned.max(self.start);
         let Some(at) = self.buffer[from..].iter().position(|b| *b == b'\n') else {
--- a/brood/src/connection/session.rs
+++ b/brood/src/connection/session.rs
@@ -117,6 +117,10 @@
     pub heard: Option<Instant>,
     /// Statements of the current transaction that were sent to an instance.
     pub tx_sent: u32,
+    /// Passed on by another forager, which was last told this version.
+    pub carried: Option<u64>,
+    /// Its lines wait until this version is known here.
+    pub needs: u64,
 }
 
 impl Session {
@@ -135,6 +139,8 @@
             turns: 0,
             heard: None,
             tx_sent: 0,
+            carried: None,
+            needs: 0,
         }
     }
 
--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -92,6 +92,7 @@
 pub struct Ask {
     pub nonce: u64,
     pub node: String,
+    pub zone: String,
     /// The life of the process; counts of an earlier one stand beside these.
     pub life: u64,
     /// Requests begun by window and tenant, whole so far.
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -3,6 +3,7 @@
 //! Decisions go through the log before anything is done outside, so that another leader can take up
 //! where this one stopped; `docs/architecture.md` draws the steps.
 
+use super::carry::{Part, Parts};
 use super::dance::{Ask, Dance, Sight};
 use super::registry::Registry;
 use super::repair::Instance;
@@ -116,6 +117,7 @@
 #[derive(Debug)]
 struct Forager {
     name: String,
+    zone: String,
     heard: Instant,
     sights: Vec<Sight>,
     leases: BTreeMap<String, (u64, Instant)>,
@@ -234,12 +236,14 @@
         }
         let forager = self.foragers.entry(from).or_insert_with(|| Forager {
             name: ask.node.clone(),
+            zone: String::new(),
             heard: now,
             sights: Vec::new(),
             leases: BTreeMap::new(),
             demand: 0,
         });
         forager.name = ask.node;
+        forager.zone = ask.zone;
         forager.heard = now;
         forager.sights = ask.sights;
         forager.demand = ask.demand;
@@ -568,16 +572,16 @@
             return;
         }
         let ledger = &scene.ledger.parts;
-        let mut parts: BTreeMap<String, u32> = BTreeMap::new();
-        for forager in self.foragers.values() {
+        let mut parts = Parts::new();
+        for (ip, forager) in &self.foragers {
             if now.duration_since(forager.heard) < FORAGER_GONE {
-                parts.insert(forager.name.clone(), 1);
+                parts.insert(forager.name.clone(), Part { ip: *ip, zone: forager.zone.clone() });
             }
         }
         // One that is merely not heard yet by a new leader keeps its part for a while.
         if self.lead.is_some_and(|(_, since)| now.duration_since(since) < FORAGER_GONE) {
-            for name in ledger.keys() {
-                parts.entry(name.clone()).or_insert(1);
+            for (name, part) in ledger {
+                parts.entry(name.clone()).or_insert_with(|| part.clone());
             }
         }
         if !parts.is_empty() && parts != *ledger {
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -2,6 +2,7 @@
 //!
 //! Inputs are bytes, ends and the moment; outputs are what to send, open and close.
 
+use super::carry::{self, Parts};
 use super::dance::{Ask, Dance, Grant, Sight};
 use super::repair::{Fact, Instance, Value};
 use super::settings::Bounds;
@@ -43,8 +44,8 @@
     Retry(SessionId, u64),
 }
 
-/// Sent first: connections kept free of clients' work on each instance, for the system's own calls.
-const RESERVED: u32 = 4;
+/// Connections taken to be allowed where no configuration names the service.
+const UNKNOWN_CAP: u32 = 8;
 /// Share of the statement's deadline that a request is held without having been sent.
 const HOLD: f64 = 0.45;
 /// A read is tried elsewhere after this share of its aim in silence, but not before `HEDGE_FLOOR`.
@@ -101,12 +102,14 @@
 const NEWS_OLD: Duration = Duration::from_millis(4000);
 /// While leaving, a session silent for this long is taken to be at rest: values and names that a
 /// client has just sent are the start of an operation.
-const QUIET: Duration = Duration::from_millis(200);
+pub const QUIET: Duration = Duration::from_millis(200);
 /// Drains that are remembered: as many as the ledger keeps.
 const KEPT_DRAINS: usize = crate::version::ledger::KEPT_DRAINS;
 /// Share of `drain-ms` in which a leaving primary is used while no other has taken over; the rest is
 /// for the news' way here and the request's way there.
 const DRAIN_USE: f64 = 0.6;
+/// Sessions closed in one turn while leaving.
+pub const CLOSED_AT_ONCE: usize = 16;
 /// How many bytes of statements a session may queue.
 const QUEUE_MAX: usize = 2 << 20;
 
@@ -158,7 +161,9 @@
     /// Instances that leave, by the log, and since when this daemon knows; the newest last.
     drains: VecDeque<(String, Instant)>,
     services: BTreeMap<String, Service>,
-    parts: BTreeMap<String, u32>,
+    parts: Parts,
+    /// The newest version that was seen at work by way of this daemon: it does not go back behind it.
+    required: u64,
     next_conn: ConnId,
     next_op: u64,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
@@ -194,7 +199,8 @@
             bees: BTreeMap::new(),
             drains: VecDeque::new(),
             services: BTreeMap::new(),
-            parts: BTreeMap::new(),
+            parts: Parts::new(),
+            required: 0,
             next_conn: 1,
             next_op: 1,
             timers: BinaryHeap::new(),
@@ -253,7 +259,10 @@
     pub fn learn(&mut self, now: Instant, facts: &[Fact]) {
         for fact in facts {
             match &fact.value {
-                Value::Config(raw) => self.adopt(raw),
+                Value::Config(raw) => {
+                    self.adopt(raw);
+                    self.proceed_all(now);
+                }
                 Value::Epoch { service, epoch, primary, term, closed } => {
                     let s = self.services.entry(service.clone()).or_default();
                     if *epoch > s.epoch {
@@ -392,6 +401,7 @@
         let ask = Ask {
             nonce: self.nonce,
             node: self.node.clone(),
+            zone: self.zone.clone(),
             life: self.life,
             usage: self.usage.clone(),
             sights,
@@ -559,7 +569,7 @@
         let Some(session) = self.sessions.get_mut(&sid) else { return };
         session.lines.push(bytes);
         if session.lines.waiting() > QUEUE_MAX {
-            self.out.push(Effect::ToClient(sid, "ERROR TOOBIG too much at once\r\n".into()));
+            self.say(sid, "ERROR TOOBIG too much at once\r\n".into());
             self.drop_session(now, sid, true);
             return;
         }
@@ -586,18 +596,20 @@
     fn proceed(&mut self, now: Instant, sid: SessionId) {
         loop {
             let Some(session) = self.sessions.get_mut(&sid) else { return };
-            if session.op.is_some() {
+            let waits = session.needs.max(self.required) > self.config.as_ref().map_or(0, |c| c.revision);
+            if session.op.is_some() || (waits && session.lines.waiting() > 0 && !session.lines.begins(carry::REVISION))
+            {
                 return;
             }
             match session.lines.next_line() {
                 Next::Partial => break,
                 Next::TooBig => {
-                    self.out.push(Effect::ToClient(sid, "ERROR TOOBIG a message is 1 MiB at most\r\n".into()));
+                    self.say(sid, "ERROR TOOBIG a message is 1 MiB at most\r\n".into());
                     self.drop_session(now, sid, true);
                     return;
                 }
                 Next::Garbage => {
-                    self.out.push(Effect::ToClient(sid, "ERROR MALFORMED not a line of the wire\r\n".into()));
+                    self.say(sid, "ERROR MALFORMED not a line of the wire\r\n".into());
                     self.drop_session(now, sid, true);
                     return;
                 }
@@ -606,19 +618,23 @@
         }
     }
 
-    /// While leaving: closes a session that is at rest and not in the middle of readying itself.
-    fn close_if_at_rest(&mut self, now: Instant, sid: SessionId) {
-        let quiet = |s: &Session| s.turns > 0 && s.heard.is_none_or(|at| now.duration_since(at) > QUIET);
-        if self.sessions.get(&sid).is_some_and(|s| s.open && s.at_rest() && quiet(s)) {
-            self.drop_session(now, sid, true);
+    /// Something has come from the client that was not read yet.
+    pub fn stirs(&mut self, now: Instant, sid: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&sid) {
+            session.heard = Some(now);
         }
     }
 
-    /// While leaving: closes what has come to rest.
+    /// While leaving: closes what is at rest and not in the middle of readying itself.
     pub fn close_resting(&mut self, now: Instant) {
-        let all: Vec<SessionId> = self.sessions.keys().copied().collect();
-        for sid in all {
-            self.close_if_at_rest(now, sid);
+        let rests = |s: &Session| {
+            s.open && s.at_rest() && s.turns > 0 && s.heard.is_none_or(|at| now.duration_since(at) > QUIET)
+        };
+        // A few at a time: their clients come back elsewhere, and what others ask must not wait meanwhile.
+        let resting: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| rests(s)).map(|(id, _)| *id).take(CLOSED_AT_ONCE).collect();
+        for sid in resting {
+            self.drop_session(now, sid, true);
         }
         self.settle(now);
     }
@@ -628,6 +644,9 @@
         let (kind, rest) = word(line);
         match kind {
             "BYE" => self.drop_session(now, sid, true),
+            carry::REVISION if session.carried.is_some() => {
+                session.needs = session.needs.max(rest.parse().unwrap_or(0))
+            }
             "CONNECT" if !session.open => {
                 let (database, key) = word(rest);
                 let refusal = match &self.config {
@@ -636,14 +655,14 @@
                     Some(config) => config.admit(database, key).err(),
                 };
                 if let Some((code, why)) = refusal {
-                    self.out.push(Effect::ToClient(sid, format!("ERROR {code} {why}\r\n")));
+                    self.say(sid, format!("ERROR {code} {why}\r\n"));
                     self.drop_session(now, sid, true);
                     return;
                 }
                 session.database = database.to_owned();
                 session.key = key.to_owned();
                 session.open = true;
-                self.out.push(Effect::ToClient(sid, "READY I -\r\n".into()));
+                self.say(sid, "READY I -\r\n".into());
             }
             "QUERY" if session.open => {
                 session.turns += 1;
@@ -656,7 +675,7 @@
                 }
             }
             _ => {
-                self.out.push(Effect::ToClient(sid, "ERROR MALFORMED not expected here\r\n".into()));
+                self.say(sid, "ERROR MALFORMED not expected here\r\n".into());
                 self.drop_session(now, sid, true);
             }
         }
@@ -666,7 +685,7 @@
     fn done(&mut self, now: Instant, sid: SessionId) {
         let Some(session) = self.sessions.get_mut(&sid) else { return };
         let state = session.tx.state();
-        self.out.push(Effect::ToClient(sid, format!("DONE -\r\nREADY {state} -\r\n")));
+        self.say(sid, format!("DONE -\r\nREADY {state} -\r\n"));
         self.rest(now, sid);
     }
 
@@ -678,7 +697,7 @@
             session.tx = Tx::Failed;
         }
         let state = session.tx.state();
-        self.out.push(Effect::ToClient(sid, format!("{}READY {state} -\r\n", verdict.line())));
+        self.say(sid, format!("{}READY {state} -\r\n", verdict.line()));
         self.rest(now, sid);
     }
 
@@ -943,14 +962,61 @@
 
     /// How many connections this daemon may hold to an instance of the service.
     fn share(&self, service: &str) -> usize {
-        let cap = self.config.as_ref().and_then(|c| c.backends.get(service)).map_or(8, |b| b.max_connections);
-        let whole: u32 = self.parts.values().sum();
-        let mine = self.parts.get(&self.node).copied().unwrap_or(0);
-        let cap = cap.saturating_sub(RESERVED).max(1);
-        if mine == 0 {
-            (cap / (whole + 10).max(1)).max(1) as usize
-        } else {
-            (cap * mine / whole.max(1)).max(1) as usize
+        let cap = self.config.as_ref().and_then(|c| c.backends.get(service)).map_or(UNKNOWN_CAP, |b| b.max_connections);
+        carry::share(&self.parts, service, cap, &self.node)
+    }
+
+    /// Where a session that begins with this line is served: empty for here.
+    pub fn homes(&self, hello: &str) -> Vec<Ipv4Addr> {
+        let (kind, rest) = word(hello.trim_end());
+        let (database, key) = word(rest);
+        let Some(config) = self.config.as_ref().filter(|_| kind == "CONNECT") else { return Vec::new() };
+        let Ok(tenant) = config.admit(database, key) else { return Vec::new() };
+        let Some(route) = config.routes.get(database) else { return Vec::new() };
+        let cap = config.backends.get(&route.service).map_or(UNKNOWN_CAP, |b| b.max_connections);
+        let homes = carry::homes(&self.parts, &route.service, cap, &tenant);
+        // From the one that it would be served by here on, nothing is gained by passing it on.
+        homes.into_iter().take_while(|(name, _)| *name != self.node).map(|(_, ip)| ip).collect()
+    }
+
+    /// The newest version that this daemon goes by or has seen at work.
+    pub fn newest(&self) -> u64 {
+        self.required.max(self.revision())
+    }
+
+    /// A carrier served by this version: nothing is handled here by an older one from now on.
+    pub fn require(&mut self, revision: u64) {
+        self.required = self.required.max(revision);
+    }
+
+    /// A session that another forager passes on.
+    pub fn accept_carried(&mut self, sid: SessionId) -> bool {
+        if self.leaving.is_some() {
+            return false;
+        }
+        let session = Session { carried: Some(0), ..Session::new() };
+        self.sessions.insert(sid, session);
+        true
+    }
+
+    /// Tells the client, and on a carried session first which version it was served by.
+    fn say(&mut self, sid: SessionId, text: String) {
+        let revision = self.revision();
+        if let Some(told) = self.sessions.get_mut(&sid).and_then(|s| s.carried.as_mut())
+            && *told != revision
+        {
+            *told = revision;
+            self.out.push(Effect::ToClient(sid, carry::revision_line(revision)));
+        }
+        self.out.push(Effect::ToClient(sid, text));
+    }
+
+    /// Sessions that waited for a version go on.
+    fn proceed_all(&mut self, now: Instant) {
+        let waiting: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| s.op.is_none() && s.lines.waiting() > 0).map(|(id, _)| *id).collect();
+        for sid in waiting {
+            self.proceed(now, sid);
         }
     }
 
@@ -1465,7 +1531,7 @@
             }
             _ => {}
         }
-        self.out.push(Effect::ToClient(sid, answer.raw));
+        self.say(sid, answer.raw);
         if release {
             if answer.state == 'I' {
                 self.free(now, conn);
@@ -1653,7 +1719,7 @@
                 self.out.push(Effect::ToInstance(conn, "QUERY - STATUS\r\n".into()));
                 self.timers.push(Reverse((now + SETUP_PATIENCE, Timer::Conn(conn, now))));
             }
-            None if bee.conns.is_empty() => {
+            None if bee.conns.is_empty() && self.share(service) > 0 => {
                 let Some(address) = bee.address else { return };
                 let conn = self.next_conn;
                 self.next_conn += 1;
--- a/brood/src/process/mod.rs
+++ b/brood/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for a process.
 
+pub mod carry;
 pub mod dance;
 pub mod duties;
 pub mod field;
--- a/brood/src/process/repair.rs
+++ b/brood/src/process/repair.rs
@@ -25,7 +25,7 @@
     Drain {
         id: String,
     },
-    Shares(BTreeMap<String, u32>),
+    Shares(super::carry::Parts),
     Instance(Instance),
 }
 
--- a/brood/src/process/settings.rs
+++ b/brood/src/process/settings.rs
@@ -197,6 +197,11 @@
         Ok(settings)
     }
 
+    /// Where this daemon takes sessions that others pass on, if there is a port for it.
+    pub fn carry_port(&self) -> Option<u16> {
+        Some(self.internal_ports[1]).filter(|p| *p != self.internal_ports[0])
+    }
+
     /// Where this daemon listens for the others.
     pub fn hive_port(&self) -> u16 {
         self.internal_ports[0]
--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -2,6 +2,7 @@
 //! Applying is deterministic; every daemon that keeps the log reaches the same ledger.
 
 use super::config;
+use crate::process::carry::Parts;
 use crate::process::raft::Voter;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -40,9 +41,9 @@
     Drain {
         id: String,
     },
-    /// How the capped connections are split among the data plane's daemons, in parts.
+    /// The data plane's daemons among which the capped connections are split.
     Shares {
-        parts: BTreeMap<String, u32>,
+        parts: Parts,
     },
     /// What will be reported for a window, fixed before it is sent.
     Usage {
@@ -165,7 +166,7 @@
     accepted: VecDeque<u64>,
     pub epochs: BTreeMap<String, Epoch>,
     pub drains: VecDeque<String>,
-    pub parts: BTreeMap<String, u32>,
+    pub parts: Parts,
     pub reports: BTreeMap<u64, Report>,
     /// The daemon that last held the usage duty.
     pub usage_holder: Option<String>,
--- a/comb/src/pipe.rs
+++ b/comb/src/pipe.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Whether something has come that was not read yet.
+    pub fn has_unread(&self) -> bool {
+        self.stream.borrow().as_ref().is_some_and(|s| s.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0))
+    }
+
     pub fn is_closed(&self) -> bool {
         self.closed.get()
     }
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -1,7 +1,8 @@
 //! Joins the state machines to sockets, signals and the clock.
 
+use brood::process::carry::{self, Splice};
 use brood::process::dance::Dance;
-use brood::process::field::{ConnId, Effect, Field, SessionId};
+use brood::process::field::{CLOSED_AT_ONCE, ConnId, Effect, Field, QUIET, SessionId};
 use brood::process::relay::Relay;
 use brood::process::settings::Settings;
 use brood::process::views::{Card, Views};
@@ -26,6 +27,30 @@
 /// The platform sends new clients for a while after it was told not to.
 const LATECOMERS: Duration = Duration::from_millis(2600);
 
+/// A carrier that can't be reached within this is passed over, and not tried again for a while.
+const CARRIER_DIAL: Duration = Duration::from_millis(250);
+const CARRIER_REST: Duration = Duration::from_secs(1);
+/// A carrier that acknowledges nothing for this long is gone.
+const CARRIER_DARK: Duration = Duration::from_millis(1500);
+/// A client's first line is looked at up to this length; a longer one is served here.
+const HELLO_MAX: usize = 64 * 1024;
+
+/// A session that another forager serves.
+struct Far {
+    splice: Splice,
+    client: Rc<Pipe>,
+    carrier: Option<Rc<Pipe>>,
+    /// What the client has sent, until a carrier answers: another one gets it otherwise.
+    early: Option<Vec<u8>>,
+}
+
+/// Where a client's bytes go.
+enum Way {
+    Hello(Vec<u8>),
+    Here,
+    Far,
+}
+
 /// A connection to an instance and the task that reads it.
 type Opened = (Rc<Pipe>, Task<()>);
 
@@ -35,6 +60,11 @@
     relay: Shared<Relay>,
     links: Links,
     clients: Shared<HashMap<SessionId, Rc<Pipe>>>,
+    far: Shared<HashMap<SessionId, Far>>,
+    carry_port: Option<u16>,
+    /// Carriers that could not be reached, until then.
+    unreached: Shared<HashMap<Ipv4Addr, Instant>>,
+    leaving: std::cell::Cell<bool>,
     instances: Shared<HashMap<ConnId, Opened>>,
     alarm: Rc<Alarm>,
     window: Shared<Duration>,
@@ -61,6 +91,10 @@
         relay: shared(Relay::new(now, Views::new(card, rng.fork()), seeds, false)),
         links: Links::new(hive, settings.ip, settings.hive_port()),
         clients: shared(HashMap::new()),
+        far: shared(HashMap::new()),
+        carry_port: settings.carry_port(),
+        unreached: shared(HashMap::new()),
+        leaving: std::cell::Cell::new(false),
         instances: shared(HashMap::new()),
         alarm: Alarm::new(),
         window: shared(bounds.usage_window()),
@@ -83,17 +117,10 @@
             })
         }
     })?;
-    let listener = Async::<TcpListener>::bind(session)?;
-    let door = Rc::clone(&cell);
-    hive.spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => door.accept(stream),
-                Err(_) => drop(smol::Timer::after(Duration::from_millis(20)).await),
-            }
-        }
-    })
-    .detach();
+    cell.listen(session, false)?;
+    if let Some(port) = settings.carry_port() {
+        cell.listen(SocketAddrV4::new(settings.ip, port), true)?;
+    }
 
     let clock = Rc::clone(&cell);
     hive.spawn(async move {
@@ -239,24 +266,156 @@
         self.instances.borrow_mut().insert(conn, (pipe, task));
     }
 
-    fn accept(self: &Rc<Self>, stream: Async<TcpStream>) {
+    /// Takes clients, or (`carried`) sessions that other foragers pass on.
+    fn listen(self: &Rc<Self>, address: SocketAddrV4, carried: bool) -> std::io::Result<()> {
+        let listener = Async::<TcpListener>::bind(address)?;
+        let door = Rc::clone(self);
+        self.hive
+            .spawn(async move {
+                loop {
+                    match listener.accept().await {
+                        Ok((stream, _)) => door.accept(stream, carried),
+                        Err(_) => drop(smol::Timer::after(Duration::from_millis(20)).await),
+                    }
+                }
+            })
+            .detach();
+        Ok(())
+    }
+
+    fn client_bytes(self: &Rc<Self>, sid: SessionId, bytes: &[u8]) {
+        let now = Instant::now();
+        self.field.borrow_mut().client_bytes(now, sid, bytes);
+        self.perform(now);
+    }
+
+    /// The client's first line decides where the session is served.
+    fn hello(self: &Rc<Self>, sid: SessionId, pipe: &Rc<Pipe>, first: &[u8]) -> Way {
+        let line = first.split(|b| *b == b'\n').next().unwrap_or_default();
+        let mut homes = self.field.borrow().homes(&String::from_utf8_lossy(line));
+        let now = Instant::now();
+        let unreached = self.unreached.borrow();
+        homes.retain(|ip| unreached.get(ip).is_none_or(|until| now >= *until));
+        drop(unreached);
+        if homes.is_empty() || self.carry_port.is_none() {
+            self.field.borrow_mut().accept(sid);
+            self.client_bytes(sid, first);
+            return Way::Here;
+        }
+        let revision = self.field.borrow().newest();
+        let mut splice = Splice::new(revision);
+        let early = splice.client_said(now, first, revision);
+        let far = Far { splice, client: Rc::clone(pipe), carrier: None, early: Some(early) };
+        self.far.borrow_mut().insert(sid, far);
+        let cell = Rc::clone(self);
+        self.hive.spawn(async move { cell.carry(sid, homes, revision).await }).detach();
+        Way::Far
+    }
+
+    /// Passes a session on to the first carrier that answers; with none, it is served here.
+    async fn carry(self: Rc<Self>, sid: SessionId, homes: Vec<Ipv4Addr>, revision: u64) {
+        let Some(port) = self.carry_port else { return };
+        for ip in homes {
+            let dialled = comb::within(CARRIER_DIAL, Async::<TcpStream>::connect(SocketAddrV4::new(ip, port))).await;
+            let Some(Ok(stream)) = dialled else {
+                self.unreached.borrow_mut().insert(ip, Instant::now() + CARRIER_REST);
+                continue;
+            };
+            pipe::tune(stream.get_ref(), CARRIER_DARK);
+            let carrier = Pipe::connected(self.hive, stream);
+            {
+                let mut all = self.far.borrow_mut();
+                let Some(far) = all.get_mut(&sid) else { return };
+                carrier.write(carry::revision_line(revision).as_bytes());
+                carrier.write(far.early.as_deref().unwrap_or_default());
+                far.carrier = Some(Rc::clone(&carrier));
+            }
+            let cell = Rc::clone(&self);
+            Rc::clone(&carrier).read(move |bytes| cell.carrier_said(sid, bytes)).await;
+            carrier.close();
+            let mut all = self.far.borrow_mut();
+            let Some(far) = all.get_mut(&sid) else { return };
+            if far.early.is_none() {
+                if far.splice.asked() {
+                    far.client.write(far.splice.lost().as_bytes());
+                }
+                far.client.close();
+                all.remove(&sid);
+                return;
+            }
+            far.carrier = None;
+        }
+        let Some(far) = self.far.borrow_mut().remove(&sid) else { return };
+        self.field.borrow_mut().accept(sid);
+        self.client_bytes(sid, &far.early.unwrap_or_default());
+    }
+
+    fn carrier_said(&self, sid: SessionId, bytes: &[u8]) {
+        let mut all = self.far.borrow_mut();
+        let Some(far) = all.get_mut(&sid) else { return };
+        far.early = None;
+        let (out, seen) = far.splice.carrier_said(bytes);
+        if let Some(revision) = seen {
+            self.field.borrow_mut().require(revision);
+        }
+        far.client.write(&out);
+        if self.leaving.get() && far.splice.at_rest() && far.splice.turns > 0 {
+            far.client.close();
+        }
+    }
+
+    fn client_said(&self, sid: SessionId, bytes: &[u8]) {
+        let revision = self.field.borrow().newest();
+        let mut all = self.far.borrow_mut();
+        let Some(far) = all.get_mut(&sid) else { return };
+        let out = far.splice.client_said(Instant::now(), bytes, revision);
+        if let Some(carrier) = &far.carrier {
+            carrier.write(&out);
+        }
+        if let Some(early) = &mut far.early {
+            early.extend_from_slice(&out);
+        }
+    }
+
+    fn accept(self: &Rc<Self>, stream: Async<TcpStream>, carried: bool) {
         pipe::tune(stream.get_ref(), DARK * 4);
         let sid = self.next_session.get();
         self.next_session.set(sid + 1);
         let pipe = Pipe::connected(self.hive, stream);
         self.clients.borrow_mut().insert(sid, Rc::clone(&pipe));
-        self.field.borrow_mut().accept(sid);
+        let mut way = Way::Hello(Vec::new());
+        if carried {
+            if !self.field.borrow_mut().accept_carried(sid) {
+                self.clients.borrow_mut().remove(&sid);
+                return pipe.cut();
+            }
+            way = Way::Here;
+        }
         let cell = Rc::clone(self);
         self.hive
             .spawn(async move {
-                let reader = Rc::clone(&cell);
-                pipe.read(move |bytes| {
-                    let now = Instant::now();
-                    reader.field.borrow_mut().client_bytes(now, sid, bytes);
-                    reader.perform(now);
+                let (reader, client) = (Rc::clone(&cell), Rc::clone(&pipe));
+                pipe.read(move |bytes| match &mut way {
+                    Way::Here => reader.client_bytes(sid, bytes),
+                    Way::Far if reader.far.borrow().contains_key(&sid) => reader.client_said(sid, bytes),
+                    Way::Far => {
+                        // No carrier answered: it is served here now.
+                        way = Way::Here;
+                        reader.client_bytes(sid, bytes);
+                    }
+                    Way::Hello(first) => {
+                        first.extend_from_slice(bytes);
+                        if first.contains(&b'\n') || first.len() > HELLO_MAX {
+                            let first = std::mem::take(first);
+                            way = reader.hello(sid, &client, &first);
+                        }
+                    }
                 })
                 .await;
                 cell.clients.borrow_mut().remove(&sid);
+                if let Some(carrier) = cell.far.borrow_mut().remove(&sid).and_then(|f| f.carrier) {
+                    carrier.close();
+                }
                 let now = Instant::now();
                 cell.field.borrow_mut().client_gone(now, sid);
                 cell.perform(now);
@@ -267,17 +426,28 @@
     /// SIGTERM: transactions get half the grace, what runs gets a little more, then the end.
     async fn leave(self: &Rc<Self>, grace: Duration) {
         let began = Instant::now();
+        self.leaving.set(true);
         self.field.borrow_mut().leave(began);
         self.perform(began);
         loop {
             smol::Timer::after(Duration::from_millis(50)).await;
             let now = Instant::now();
             let spent = now.duration_since(began);
-            let empty = self.field.borrow().empty();
+            for (sid, _) in self.clients.borrow().iter().filter(|(_, p)| p.has_unread()) {
+                self.field.borrow_mut().stirs(now, *sid);
+                if let Some(far) = self.far.borrow_mut().get_mut(sid) {
+                    far.splice.heard = Some(now);
+                }
+            }
+            let half = spent > grace.mul_f64(GRACE_OPEN);
+            let ends =
+                |f: &&Far| !f.client.is_closed() && (f.splice.resting(now, QUIET) || (half && !f.splice.asked()));
+            self.far.borrow().values().filter(ends).take(CLOSED_AT_ONCE).for_each(|f| f.client.close());
+            let empty = self.field.borrow().empty() && self.far.borrow().values().all(|f| f.splice.at_rest());
             if (empty && spent > LATECOMERS.min(grace.mul_f64(GRACE_OPEN))) || spent > grace.mul_f64(GRACE_END) {
                 break;
             }
-            if spent > grace.mul_f64(GRACE_OPEN) {
+            if half {
                 self.field.borrow_mut().cut_transactions(now);
             } else {
                 self.field.borrow_mut().close_resting(now);
@@ -285,6 +455,12 @@
             self.perform(now);
         }
         let now = Instant::now();
+        for far in self.far.borrow().values() {
+            if far.splice.asked() {
+                far.client.write(far.splice.lost().as_bytes());
+            }
+            far.client.close();
+        }
         self.field.borrow_mut().finish(now);
         self.relay.borrow_mut().leave();
         self.field.borrow_mut().farewell(now);
