--- a/apiary/src/scenario.rs
+++ b/apiary/src/scenario.rs
@@ -9,6 +9,7 @@
     let mut size = Size { queens: 3, spare: 0, foragers: 3, clients: 6, tolerance: 1 };
     let mut until = Duration::from_secs(15);
     let mut sync = Duration::from_millis(2);
+    let mut cap = None;
     let mut actions = Vec::new();
     let mut expects = Vec::new();
     for line in text.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
@@ -25,6 +26,7 @@
             "foragers" => size.foragers = number()?,
             "clients" => size.clients = number()?,
             "tolerance" => size.tolerance = number()?,
+            "cap" => cap = Some(number()?),
             "sync" => sync = seconds(rest)?,
             "until" => until = seconds(rest)?,
             "at" => {
@@ -38,6 +40,7 @@
     for seed in seeds {
         let mut world = World::new(seed, size);
         world.sync = sync;
+        world.cap = cap.map_or(world.cap, |c| c as u32);
         world.plan(Duration::from_secs(2), "config");
         for (at, action) in &actions {
             world.plan(*at, action);
@@ -70,6 +73,7 @@
         "reports" => world.judge.windows_reported() as f64,
         "voters" => world.voters().len() as f64,
         "epochs" => world.epoch() as f64,
+        "carried" => world.carried as f64,
         "leader" => f64::from(u8::from(world.leader().is_some())),
         other => return Err(format!("no such measure: {other}")),
     };
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::instance::{Instance, Log};
 use crate::judge::{End, Judge};
+use brood::process::carry::{self, Splice};
 use brood::process::dance::Dance;
 use brood::process::duties::Probed;
 use brood::process::field::{self, Field};
@@ -115,6 +116,10 @@
     clients: Vec<Client>,
     sessions: HashMap<u64, (usize, usize)>,
     conns: HashMap<(usize, u32, u64), usize>,
+    /// Sessions that the forager they came to passes on: that forager, and what it knows of them.
+    splices: HashMap<u64, (usize, Splice)>,
+    pub carried: usize,
+    pub cap: u32,
     pub judge: Judge,
     platform_up: bool,
     pub revision: u64,
@@ -157,6 +162,9 @@
             clients: Vec::new(),
             sessions: HashMap::new(),
             conns: HashMap::new(),
+            splices: HashMap::new(),
+            carried: 0,
+            cap: 60,
             judge: Judge::default(),
             platform_up: true,
             revision: 0,
@@ -328,9 +336,13 @@
                 f.relay = None;
             }
         }
+        let through = |sid: &u64| self.splices.get(sid).is_some_and(|(door, _)| *door == n);
         let ended: Vec<(u64, usize)> =
-            self.sessions.iter().filter(|(_, (f, _))| *f == n).map(|(s, (_, c))| (*s, *c)).collect();
+            self.sessions.iter().filter(|(sid, (f, _))| *f == n || through(sid)).map(|(s, (_, c))| (*s, *c)).collect();
         for (sid, client) in ended {
+            if self.splices.remove(&sid).is_some() {
+                self.after(Duration::from_millis(1), Event::FromClient(sid, None));
+            }
             self.after(Duration::from_millis(3), Event::ToClient(client, sid, None));
         }
         let conns: Vec<((usize, u32, u64), usize)> =
@@ -737,7 +749,16 @@
 
     fn field_effect(&mut self, n: usize, life: u32, effect: field::Effect) {
         match effect {
-            field::Effect::ToClient(sid, text) => {
+            field::Effect::ToClient(sid, mut text) => {
+                if let Some((door, splice)) = self.splices.get_mut(&sid) {
+                    let (out, seen) = splice.carrier_said(text.as_bytes());
+                    text = String::from_utf8_lossy(&out).into_owned();
+                    if let (Some(seen), Kind::Forager(Forager { field: Some(field), .. })) =
+                        (seen, &mut self.nodes[*door].kind)
+                    {
+                        field.require(seen);
+                    }
+                }
                 if let Some((_, c)) = self.sessions.get(&sid).copied() {
                     self.after(Duration::from_millis(2), Event::ToClient(c, sid, Some(text)));
                 }
@@ -811,22 +832,45 @@
         if up.is_empty() {
             return self.after(Duration::from_millis(200), Event::Client(c));
         }
-        let n = up[self.rng.usize(0..up.len())];
+        let mut n = up[self.rng.usize(0..up.len())];
         let sid = self.next_session;
         self.next_session += 1;
+        let key = self.keys[c % self.keys.len()].clone();
+        let hello = format!("CONNECT {} {key}\r\n", ROUTES[self.clients[c].route]);
+        let (homes, newest) = match &self.nodes[n].kind {
+            Kind::Forager(Forager { field: Some(field), .. }) => (field.homes(&hello), field.newest()),
+            _ => (Vec::new(), 0),
+        };
+        // The first carrier that can be reached, or the forager itself.
+        for ip in homes {
+            let Some(home) = self.node_of(ip) else { continue };
+            if !self.nodes[home].up || self.cuts.contains(&(n, home)) {
+                continue;
+            }
+            if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[home].kind
+                && field.accept_carried(sid)
+            {
+                self.splices.insert(sid, (n, Splice::new(newest)));
+                self.carried += 1;
+                let told = carry::revision_line(newest);
+                self.after(Duration::from_millis(2), Event::FromClient(sid, Some(told)));
+                n = home;
+                break;
+            }
+        }
         self.sessions.insert(sid, (n, c));
-        if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
+        if !self.splices.contains_key(&sid)
+            && let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind
+        {
             field.accept(sid);
         }
-        let key = self.keys[c % self.keys.len()].clone();
         let client = &mut self.clients[c];
         client.forager = n;
         client.session = Some(sid);
         client.values.clear();
         client.asked = Some((String::new(), "CONNECT".into()));
         client.reply.clear();
-        let hello = format!("CONNECT {} {key}\r\n", ROUTES[client.route]);
-        self.after(Duration::from_millis(2), Event::FromClient(sid, Some(hello)));
+        self.from_client(sid, Some(hello));
     }
 
     fn new_operation(&mut self, c: usize) {
@@ -889,7 +933,20 @@
         if text.starts_with("WRITE") || text.starts_with("RUN") {
             client.write_ids.push(id.clone());
         }
-        self.after(Duration::from_millis(2), Event::FromClient(sid, Some(format!("QUERY {id} {text}\r\n"))));
+        self.from_client(sid, Some(format!("QUERY {id} {text}\r\n")));
+    }
+
+    /// What a client sends, by way of the forager that it came to.
+    fn from_client(&mut self, sid: u64, text: Option<String>) {
+        let now = self.at();
+        let text = match (text, self.splices.get_mut(&sid)) {
+            (Some(text), Some((door, splice))) => {
+                let Kind::Forager(Forager { field: Some(field), .. }) = &self.nodes[*door].kind else { return };
+                Some(String::from_utf8_lossy(&splice.client_said(now, text.as_bytes(), field.newest())).into_owned())
+            }
+            (text, _) => text,
+        };
+        self.after(Duration::from_millis(2), Event::FromClient(sid, text));
     }
 
     fn client_hears(&mut self, c: usize, sid: u64, text: Option<String>) {
@@ -1013,10 +1070,11 @@
         let keys: Vec<String> =
             self.keys.iter().enumerate().map(|(n, k)| format!(r#"{{"name":"t{n}","api-keys":["{k}"]}}"#)).collect();
         format!(
-            r#"{{"revision":{revision},"routes":[{},{},{}],"backends":[{{"name":"{SERVICE}","max-connections":60}}],"limits":{{"tx-rest-ms":3000}},"customers":[{}]}}"#,
+            r#"{{"revision":{revision},"routes":[{},{},{}],"backends":[{{"name":"{SERVICE}","max-connections":{}}}],"limits":{{"tx-rest-ms":3000}},"customers":[{}]}}"#,
             route(ROUTES[0], "primary", ""),
             route(ROUTES[1], "bounded", stale),
             route(ROUTES[2], "own_writes", stale),
+            self.cap,
             keys.join(",")
         )
         .into_bytes()
