--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -870,7 +870,7 @@
         client.values.clear();
         client.asked = Some((String::new(), "CONNECT".into()));
         client.reply.clear();
-        self.from_client(sid, Some(hello));
+        self.client_sends(sid, Some(hello));
     }
 
     fn new_operation(&mut self, c: usize) {
@@ -933,11 +933,11 @@
         if text.starts_with("WRITE") || text.starts_with("RUN") {
             client.write_ids.push(id.clone());
         }
-        self.from_client(sid, Some(format!("QUERY {id} {text}\r\n")));
+        self.client_sends(sid, Some(format!("QUERY {id} {text}\r\n")));
     }
 
     /// What a client sends, by way of the forager that it came to.
-    fn from_client(&mut self, sid: u64, text: Option<String>) {
+    fn client_sends(&mut self, sid: u64, text: Option<String>) {
         let now = self.at();
         let text = match (text, self.splices.get_mut(&sid)) {
             (Some(text), Some((door, splice))) => {
--- a/brood/src/process/carry.rs
+++ b/brood/src/process/carry.rs
@@ -6,7 +6,7 @@
 
 use super::repair::digest;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -23,8 +23,9 @@
 /// Connections of an instance that are kept free of clients' work, for the system's own calls.
 const RESERVED: u32 = 4;
 /// With fewer connections each than this, foragers do not hold their own.
-const DIRECT_MIN: u32 = 4;
-/// Connections to an instance that a carrier should have at least, and carriers of a service.
+const DIRECT_MIN: u32 = 6;
+/// A service has a carrier for each zone, as far as each gets this many connections to an instance, and
+/// two in any case.
 const CARRIER_SHARE: u32 = 18;
 const CARRIERS_MIN: usize = 2;
 
@@ -41,7 +42,8 @@
     if parts.is_empty() || usable / parts.len() as u32 >= DIRECT_MIN {
         return Vec::new();
     }
-    let count = ((usable / CARRIER_SHARE) as usize).max(CARRIERS_MIN).min(parts.len());
+    let zones = parts.values().map(|p| &p.zone).collect::<BTreeSet<_>>().len();
+    let count = zones.min((usable / CARRIER_SHARE) as usize).max(CARRIERS_MIN).min(parts.len());
     let mut all: Vec<(u64, &String, &Part)> = parts.iter().map(|(n, p)| (rank(&[service, n]), n, p)).collect();
     all.sort_unstable_by_key(|(rank, ..)| std::cmp::Reverse(*rank));
     let mut chosen: Vec<(&String, &Part)> = Vec::with_capacity(count);
@@ -66,7 +68,9 @@
         let heads = parts.len() as u32 + if parts.contains_key(me) { 0 } else { 10 };
         return (usable / heads.max(1)).max(1) as usize;
     }
-    if carriers.iter().any(|(n, _)| *n == me) { (usable as usize / carriers.len()).max(1) } else { 0 }
+    // One that does not carry needs a connection only for sessions that found no carrier or have not
+    // moved yet; what is reserved covers the few there are.
+    if carriers.iter().any(|(n, _)| *n == me) { (usable as usize / carriers.len()).max(1) } else { 1 }
 }
 
 /// Where a tenant's sessions on a service go, the best first; empty where they are served here.
@@ -218,9 +222,9 @@
         let all = parts(86);
         let carry = carriers(&all, "s", 59);
         assert_eq!(carry.len(), 3);
-        let zones: std::collections::BTreeSet<_> = carry.iter().map(|(_, p)| &p.zone).collect();
+        let zones: BTreeSet<_> = carry.iter().map(|(_, p)| &p.zone).collect();
         assert_eq!(zones.len(), 3, "spread over zones");
-        let total: usize = all.keys().map(|n| share(&all, "s", 59, n)).sum();
+        let total: usize = carry.iter().map(|(n, _)| share(&all, "s", 59, n)).sum();
         assert!(total > 45 && total <= 59 - RESERVED as usize, "{total} in all");
         // One more or fewer forager changes little.
         let mut fewer = all.clone();
@@ -231,8 +235,7 @@
             names(&all) == names(&fewer)
         });
         assert!(same.count() >= 27);
-        let spread: std::collections::BTreeSet<String> =
-            (0..40).map(|t| homes(&all, "s", 59, &format!("t{t}"))[0].0.clone()).collect();
+        let spread: BTreeSet<String> = (0..40).map(|t| homes(&all, "s", 59, &format!("t{t}"))[0].0.clone()).collect();
         assert_eq!(spread.len(), 3, "tenants spread over the carriers");
     }
 
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -108,7 +108,9 @@
 /// Share of `drain-ms` in which a leaving primary is used while no other has taken over; the rest is
 /// for the news' way here and the request's way there.
 const DRAIN_USE: f64 = 0.6;
-/// Sessions closed in one turn while leaving.
+/// Pause between such turns when sessions move to other foragers.
+const MOVE_PAUSE: Duration = Duration::from_millis(200);
+/// Sessions closed in one turn while leaving, or to be served elsewhere.
 pub const CLOSED_AT_ONCE: usize = 16;
 /// How many bytes of statements a session may queue.
 const QUEUE_MAX: usize = 2 << 20;
@@ -162,6 +164,8 @@
     drains: VecDeque<(String, Instant)>,
     services: BTreeMap<String, Service>,
     parts: Parts,
+    /// When sessions whose service is carried elsewhere by now are looked for.
+    moves_due: Option<Instant>,
     /// The newest version that was seen at work by way of this daemon: it does not go back behind it.
     required: u64,
     next_conn: ConnId,
@@ -200,6 +204,7 @@
             drains: VecDeque::new(),
             services: BTreeMap::new(),
             parts: Parts::new(),
+            moves_due: None,
             required: 0,
             next_conn: 1,
             next_op: 1,
@@ -289,6 +294,7 @@
                 }
                 Value::Shares(parts) => {
                     self.parts = parts.clone();
+                    self.moves_due = Some(now + MOVE_PAUSE);
                     self.shrink(now);
                 }
                 Value::Instance(instance) => self.learn_instance(now, instance),
@@ -979,6 +985,32 @@
         homes.into_iter().take_while(|(name, _)| *name != self.node).map(|(_, ip)| ip).collect()
     }
 
+    /// The shares have changed: sessions at rest whose service this daemon no longer holds connections
+    /// for are closed, a few at a time; their clients come back and are passed on.
+    fn move_sessions(&mut self, now: Instant) {
+        let Some(config) = &self.config else { return };
+        let elsewhere: Vec<&str> = config
+            .backends
+            .values()
+            .filter(|b| {
+                let carriers = carry::carriers(&self.parts, &b.name, b.max_connections);
+                !carriers.is_empty() && carriers.iter().all(|(n, _)| **n != self.node)
+            })
+            .map(|b| b.name.as_str())
+            .collect();
+        let moves = |s: &Session| {
+            s.open && config.routes.get(&s.database).is_some_and(|r| elsewhere.contains(&r.service.as_str()))
+        };
+        let rests = |s: &Session| s.at_rest() && s.heard.is_none_or(|at| now.duration_since(at) > QUIET);
+        let all = || self.sessions.iter().filter(|(_, s)| moves(s));
+        let going: Vec<SessionId> = all().filter(|(_, s)| rests(s)).map(|(id, _)| *id).take(CLOSED_AT_ONCE).collect();
+        let more = all().nth(going.len()).is_some();
+        for sid in going {
+            self.drop_session(now, sid, true);
+        }
+        self.moves_due = more.then_some(now + MOVE_PAUSE);
+    }
+
     /// The newest version that this daemon goes by or has seen at work.
     pub fn newest(&self) -> u64 {
         self.required.max(self.revision())
@@ -1826,7 +1858,7 @@
     // ---- time -------------------------------------------------------------------------------
 
     pub fn next_due(&self) -> Instant {
-        let mut due = self.ask_due;
+        let mut due = self.moves_due.map_or(self.ask_due, |at| at.min(self.ask_due));
         if let Some(Reverse((at, _))) = self.timers.peek() {
             due = due.min(*at);
         }
@@ -1856,6 +1888,9 @@
         }
         self.expire_leases(now);
         self.finish_recalls(now);
+        if self.moves_due.is_some_and(|due| now >= due) {
+            self.move_sessions(now);
+        }
         if now >= self.ask_due {
             self.ask(now);
             self.release_held(now, None);
