Foragers find the leader by asking any queen, and mend old news from it

Now a queen that does not lead says who does; the voters are in the news; a grant carries the digests of the leader's copies, and what differs for 0.7 s is asked for there; a parent with old news is left only while the leader itself has answered for a while.

--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -431,7 +431,11 @@
                         Kind::Queen(Queen { royal: Some(royal), .. }) => royal.dance(now, ip, *dance),
                         Kind::Forager(Forager { field: Some(field), relay: Some(relay), .. }) => {
                             match relay.receive(now, ip, *dance) {
-                                Some(Dance::Grant(grant)) => field.granted(now, ip, grant),
+                                Some(Dance::Grant(grant)) => {
+                                    relay.leader_answered(now, ip, &grant.digests);
+                                    field.granted(now, ip, grant);
+                                }
+                                Some(Dance::Led { leader }) => field.led(now, leader),
                                 Some(Dance::Recall { service, epoch }) => field.recalled(now, ip, &service, epoch),
                                 _ => {}
                             }
--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -66,6 +66,10 @@
     },
     Ask(Ask),
     Grant(Grant),
+    /// Not by this daemon: that one leads.
+    Led {
+        leader: Ipv4Addr,
+    },
     /// The leader wants leases for this epoch back.
     Recall {
         service: String,
@@ -122,6 +126,8 @@
     pub span: Duration,
     /// Windows up to and including this one are reported; no need to tell of them again.
     pub reported: Option<u64>,
+    /// Of the leader's copies, for those whose news comes late.
+    pub digests: Digests,
 }
 
 /// Frames are bounded; nothing daemons say comes near this.
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -298,6 +298,7 @@
                     self.shrink(now);
                 }
                 Value::Instance(instance) => self.learn_instance(now, instance),
+                Value::Queens(_) => {}
             }
         }
         self.release_held(now, None);
@@ -396,7 +397,10 @@
         // A leader that does not answer may have been replaced, and only that one's successor grants.
         let asked: Vec<Ipv4Addr> = match self.leader {
             Some(leader) if now.duration_since(self.granted_at) < GRANT_PATIENCE => vec![leader],
-            _ => self.queens.clone(),
+            leader => {
+                let hinted = leader.filter(|l| !self.queens.contains(l));
+                self.queens.iter().copied().chain(hinted).collect()
+            }
         };
         self.nonce += 1;
         self.asked.push_back((self.nonce, now));
@@ -453,6 +457,14 @@
         asked.is_some_and(|at| now.duration_since(bee.heard.map_or(at, |h| h.max(at))) > SILENCE)
     }
 
+    /// A daemon that does not lead knows who does.
+    pub fn led(&mut self, now: Instant, leader: Ipv4Addr) {
+        if self.leader != Some(leader) {
+            self.leader = Some(leader);
+            self.ask_soon(now);
+        }
+    }
+
     fn ask_soon(&mut self, now: Instant) {
         self.ask_due = self.ask_due.min(now + ASK_SOON);
     }
--- a/brood/src/process/relay.rs
+++ b/brood/src/process/relay.rs
@@ -1,7 +1,7 @@
 //! The tree of relays that news runs down: who feeds this daemon and whom it feeds.
 
 use super::dance::{Dance, Pulse};
-use super::repair::{Copies, Fact};
+use super::repair::{Copies, Digests, Fact, Value};
 use super::views::{Card, Views};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -16,6 +16,8 @@
 const STALE: Duration = Duration::from_millis(1200);
 /// With no better parent anywhere, the next search waits this long.
 const CONTENT: Duration = Duration::from_secs(2);
+/// Copies that differ from the leader's for this long are mended from there.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(700);
 const ANSWER: Duration = Duration::from_millis(600);
 const SHUFFLE: Duration = Duration::from_secs(3);
 /// Deeper than this, a daemon looks for a better place.
@@ -43,6 +45,10 @@
     /// Nobody had fresh news when asked last: any parent will do until then.
     content: Option<Instant>,
     seeds: Vec<Ipv4Addr>,
+    /// Since when, and when last, the leader itself answered without a long pause.
+    signs: Option<(Instant, Instant)>,
+    /// Since when the leader's copies are known to differ from these.
+    behind: Option<Instant>,
     pulse_due: Instant,
     shuffle_due: Instant,
     pub views: Views,
@@ -63,6 +69,8 @@
             tries: Vec::new(),
             content: None,
             seeds,
+            signs: None,
+            behind: None,
             pulse_due: now,
             shuffle_due: now + SHUFFLE / 3,
             views,
@@ -88,12 +96,45 @@
     /// The daemons known to keep the log.
     pub fn roots(&self) -> Vec<Ipv4Addr> {
         let mut roots = self.seeds.clone();
+        roots.extend(self.queens());
         roots.extend(self.views.cards().iter().filter(|c| c.control.is_some()).map(|c| c.ip));
         roots.sort_unstable();
         roots.dedup();
         roots
     }
 
+    /// The voters, as the log last told.
+    fn queens(&self) -> Vec<Ipv4Addr> {
+        match self.copies.get("q/").map(|f| &f.value) {
+            Some(Value::Queens(queens)) => queens.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// The leader itself answered, with the digests of its copies. Where the tree does not bring the
+    /// difference soon, it is asked for there.
+    pub fn leader_answered(&mut self, now: Instant, leader: Ipv4Addr, digests: &Digests) {
+        match &mut self.signs {
+            Some((_, last)) if now.duration_since(*last) < STALE => *last = now,
+            signs => *signs = Some((now, now)),
+        }
+        let ranges = self.copies.differing(digests);
+        if ranges.is_empty() {
+            self.behind = None;
+        } else if now.duration_since(*self.behind.get_or_insert(now)) > BEHIND_PATIENCE {
+            self.behind = Some(now);
+            let versions = self.copies.versions(&ranges);
+            self.out.push((leader, Dance::Compare { ranges, versions }));
+        }
+    }
+
+    /// Whether the leader has been alive for a while, by its own answers: only then is there better
+    /// news to be had than a parent's old ones.
+    fn better_news(&self, now: Instant) -> bool {
+        self.signs
+            .is_some_and(|(since, last)| now.duration_since(last) < STALE && now.duration_since(since) > STALE + PULSE)
+    }
+
     /// How old the newest sign of the leader is.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.fresh.map(|f| now.duration_since(f))
@@ -195,9 +236,9 @@
                 let near = card.zone == me.zone;
                 cards.push((u8::from(!near) + 2 * u8::from(!root), card.ip));
             }
-            for seed in &self.seeds {
-                if !cards.iter().any(|(_, ip)| ip == seed) {
-                    cards.push((1, *seed));
+            for seed in self.seeds.iter().copied().chain(self.queens()) {
+                if !cards.iter().any(|(_, ip)| *ip == seed) {
+                    cards.push((1, seed));
                 }
             }
             cards.sort_by_key(|(rank, ip)| (std::cmp::Reverse(*rank), spot(me.ip, *ip)));
@@ -233,7 +274,7 @@
             }
             Dance::Welcome { pulse } => {
                 let asked = matches!(self.parent, Parent::Asked(p, _) if p == from);
-                if asked && (pulse.age < STALE || self.contented(now)) {
+                if asked && (pulse.age < STALE || self.contented(now) || !self.better_news(now)) {
                     self.parent = Parent::Fed(from, now);
                     self.tries.clear();
                     self.hear(now, from, pulse);
@@ -301,7 +342,7 @@
         let ranges = self.copies.differing(&pulse.digests);
         let versions = self.copies.versions(&ranges);
         self.out.push((from, Dance::Compare { ranges, versions }));
-        if (pulse.age > STALE && !self.contented(now)) || self.depth > DEPTH_MAX {
+        if (pulse.age > STALE && !self.contented(now) && self.better_news(now)) || self.depth > DEPTH_MAX {
             // Fed by one that is cut off itself: look elsewhere, there last.
             self.out.push((from, Dance::Detach));
             self.parent = Parent::None;
--- a/brood/src/process/repair.rs
+++ b/brood/src/process/repair.rs
@@ -27,6 +27,8 @@
     },
     Shares(super::carry::Parts),
     Instance(Instance),
+    /// The daemons that keep the log and vote.
+    Queens(Vec<std::net::Ipv4Addr>),
 }
 
 /// What an instance says of itself.
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -96,8 +96,10 @@
 const JOIN: Duration = Duration::from_millis(300);
 /// Daemons that keep the log and were not heard for this long are forgotten, unless they are seeds or vote.
 const QUEEN_GONE: Duration = Duration::from_secs(60);
-/// Applied entries kept before they are compacted.
+/// Applied entries kept before they are compacted, and bytes of configurations in them: a storm of large
+/// ones must not fill the disk.
 const LOG_KEPT: u64 = 400;
+const LOG_BYTES: usize = 2 << 20;
 /// A leader counts as confirmed this long after a round began that a majority answered.
 pub const CONFIRM: Duration = Duration::from_millis(400);
 /// Timers armed for a tick are never nearer than this.
@@ -123,6 +125,8 @@
     /// Reads that found no leader yet.
     next_read: u64,
     published: u64,
+    /// Bytes of configurations applied since the log was last compacted.
+    log_bytes: usize,
     hello_due: Instant,
     join_due: Instant,
     gossip_due: Instant,
@@ -169,6 +173,7 @@
             reads: BTreeMap::new(),
             next_read: 0,
             published: 0,
+            log_bytes: 0,
             hello_due: now,
             join_due: now,
             gossip_due: now + GOSSIP / 2,
@@ -253,7 +258,8 @@
             self.proposals.values_mut().for_each(|p| p.due = now);
         }
         self.was = role;
-        if self.raft.compactable() > LOG_KEPT {
+        if self.raft.compactable() > LOG_KEPT || (self.log_bytes > LOG_BYTES && self.raft.compactable() > 0) {
+            self.log_bytes = 0;
             let state = bincode::serde::encode_to_vec(&self.ledger, bincode::config::standard()).unwrap_or_default();
             if !state.is_empty() {
                 self.raft.compact(state);
@@ -304,6 +310,9 @@
     }
 
     fn apply(&mut self, now: Instant, index: u64, entry: &raft::Entry) {
+        if let Command::Configure { raw, .. } = &entry.command {
+            self.log_bytes += raw.len();
+        }
         let outcome = self.ledger.apply(index, entry.mark, &entry.command);
         self.duties.applied(&entry.command);
         if entry.mark.proposer == self.proposer && entry.mark.serial != 0 {
@@ -329,6 +338,7 @@
                     closed: e.closed,
                 }),
                 Some(("d", id)) => Some(Value::Drain { id: id.to_owned() }),
+                Some(("q", _)) => Some(Value::Queens(self.ledger.voters.iter().map(|v| v.ip).collect())),
                 Some(("s", _)) => Some(Value::Shares(self.ledger.parts.clone())),
                 _ => None,
             };
@@ -464,6 +474,9 @@
             }
             Dance::Ask(ask) => {
                 if !self.raft.confirmed(now) {
+                    if let Some(leader) = self.raft.leader().filter(|l| l.ip != self.card.ip) {
+                        self.send(from, Dance::Led { leader: leader.ip });
+                    }
                     return;
                 }
                 let nonce = ask.nonce;
@@ -476,7 +489,8 @@
                     confirm: CONFIRM,
                 };
                 let (leases, reported) = self.duties.asked(&scene, from, ask);
-                self.send(from, Dance::Grant(Grant { nonce, leases, span: duties::LEASE, reported }));
+                let digests = self.relay.copies.digests();
+                self.send(from, Dance::Grant(Grant { nonce, leases, span: duties::LEASE, reported, digests }));
             }
             Dance::Returned { service, epoch } => {
                 self.duties.returned(from, &service, epoch);
--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -282,7 +282,10 @@
                     self.reports.pop_first();
                 }
             }
-            Command::Voters { voters } => self.voters = voters.clone(),
+            Command::Voters { voters } => {
+                self.voters = voters.clone();
+                self.note("q/".to_owned());
+            }
         }
         Outcome::Done
     }
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -171,7 +171,11 @@
         let rest = self.relay.borrow_mut().receive(now, from, dance);
         self.pass_news(now);
         match rest {
-            Some(Dance::Grant(grant)) => self.field.borrow_mut().granted(now, from, grant),
+            Some(Dance::Grant(grant)) => {
+                self.relay.borrow_mut().leader_answered(now, from, &grant.digests);
+                self.field.borrow_mut().granted(now, from, grant);
+            }
+            Some(Dance::Led { leader }) => self.field.borrow_mut().led(now, leader),
             Some(Dance::Recall { service, epoch }) => self.field.borrow_mut().recalled(now, from, &service, epoch),
             _ => {}
         }
