A carried session's last word is not said twice, nor within a line

Found on reading: a carrier that ended a session with an error of its own, or broke off in the middle of a row, had UNSURE put behind it, which a client could take for an answer. Test: carry.rs.

--- a/brood/src/process/carry.rs
+++ b/brood/src/process/carry.rs
@@ -101,6 +101,8 @@
     /// Questions without an answer.
     outstanding: u64,
     state: u8,
+    /// The last line was an error: either its `READY` follows, or it was the last word.
+    error: bool,
     pub turns: u64,
     pub heard: Option<Instant>,
     /// The version last told to the carrier.
@@ -116,6 +118,7 @@
             down_passes: false,
             outstanding: 0,
             state: b'I',
+            error: false,
             turns: 0,
             heard: None,
             told: revision,
@@ -173,12 +176,14 @@
                 self.outstanding = self.outstanding.saturating_sub(1);
                 self.state = rest.first().copied().unwrap_or(b'I');
             }
+            self.error = line.starts_with(b"ERROR ");
             out.extend_from_slice(&line);
             self.down_passes = !whole;
         }
         (out, seen)
     }
 
+    /// Whether the client waits for an answer.
     pub fn asked(&self) -> bool {
         self.outstanding > 0
     }
@@ -193,9 +198,11 @@
         self.at_rest() && self.turns > 0 && self.heard.is_none_or(|at| now.duration_since(at) > quiet)
     }
 
-    /// The last word to a client whose answer will not come: it may have run.
+    /// The last word to a client whose answer will not come: it may have run. Nothing, where the
+    /// carrier had its last word already or broke off within a line.
     pub fn lost(&self) -> &'static str {
         match self.state {
+            _ if !self.asked() || self.error || self.down_passes => "",
             b'I' => "ERROR UNSURE the daemon that served this session is gone\r\nREADY I -\r\n",
             _ => "ERROR UNSURE the daemon that served this session is gone\r\nREADY E -\r\n",
         }
@@ -268,5 +275,12 @@
         .concat();
         assert_eq!(down, told);
         assert!(!splice.asked() && !splice.at_rest(), "three answers came, and a transaction is open");
+        assert_eq!(splice.lost(), "", "nothing is owed");
+        splice.client_said(now, b"QUERY d READ x\r\n", 6);
+        assert!(splice.lost().ends_with("READY E -\r\n"), "its transaction failed");
+        splice.carrier_said(b"ROW long, longer than any of the foragers' own words");
+        assert_eq!(splice.lost(), "", "broken off within a line");
+        splice.carrier_said(b"\r\nERROR MALFORMED the end\r\n");
+        assert_eq!(splice.lost(), "", "the carrier's last word stands");
     }
 }
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -340,9 +340,7 @@
             let mut all = self.far.borrow_mut();
             let Some(far) = all.get_mut(&sid) else { return };
             if far.early.is_none() {
-                if far.splice.asked() {
-                    far.client.write(far.splice.lost().as_bytes());
-                }
+                far.client.write(far.splice.lost().as_bytes());
                 far.client.close();
                 all.remove(&sid);
                 return;
@@ -460,9 +458,7 @@
         }
         let now = Instant::now();
         for far in self.far.borrow().values() {
-            if far.splice.asked() {
-                far.client.write(far.splice.lost().as_bytes());
-            }
+            far.client.write(far.splice.lost().as_bytes());
             far.client.close();
         }
         self.field.borrow_mut().finish(now);
