--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -54,6 +54,8 @@
     pub field: Option<Box<Field>>,
     relay: Option<Box<Relay>>,
     revision: u64,
+    /// The newest version acknowledged when this process began.
+    floor: u64,
 }
 
 enum Kind {
@@ -192,7 +194,7 @@
                     syncing: false,
                 })
             } else {
-                Kind::Forager(Forager { field: None, relay: None, revision: 0 })
+                Kind::Forager(Forager { field: None, relay: None, revision: 0, floor: 0 })
             };
             world.nodes.push(Node { kind, ip, life: 0, up: false, gone: false, frozen: false, tick_at: None });
             world.applied.push(0);
@@ -308,6 +310,7 @@
                 )));
                 f.relay = Some(Box::new(Relay::new(now, Views::new(card, rng), seeds, false)));
                 f.revision = 0;
+                f.floor = self.acked_revision;
             }
         }
         self.drain(n);
@@ -584,6 +587,10 @@
                     effects.extend(more);
                 }
                 let due = field.next_due().min(relay.next_due());
+                if field.revision() > 0 && field.revision() < f.floor {
+                    let what = format!("CONFIG: n{n} begins with {}, {} was in force", field.revision(), f.floor);
+                    self.judge.breaks(self.now, what);
+                }
                 let back = field.revision() < f.revision;
                 f.revision = field.revision();
                 if back {
@@ -1128,6 +1135,11 @@
                     self.http(q, revision, "PUT", "/api/config", Some(revision - 2), body);
                 }
             }
+            // Configurations in quick succession, more than the log keeps.
+            "storm" => {
+                let count: u32 = who.parse().unwrap_or(0);
+                (0..count).for_each(|n| self.plan(self.now + Duration::from_millis(8) * n, "config"));
+            }
             "badconfig" => {
                 for body in [&b"{"[..], br#"{"revision":1,"routes":[],"backends":[]}"#] {
                     let current = self.revision;
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -50,6 +50,8 @@
 const SHARES_PAUSE: Duration = Duration::from_millis(1000);
 /// Share of the usage delay after which a window's counts are taken as whole.
 const USAGE_SETTLE: f64 = 0.35;
+/// Foragers look for a new leader for about a second and tell it all that is not reported.
+const USAGE_GATHER: Duration = Duration::from_millis(1500);
 const USAGE_PAUSE: Duration = Duration::from_millis(400);
 
 /// What a probe of an instance found.
@@ -598,6 +600,10 @@
         if !self.may_act(now, "usage", ledger.usage_holder.as_deref()) {
             return;
         }
+        // A new leader first hears from everybody again: a window is reported once and for all.
+        if self.lead.is_none_or(|(_, since)| now.duration_since(since) < USAGE_GATHER) {
+            return;
+        }
         let span = self.bounds.usage_window().as_secs_f64();
         let settle = self.bounds.usage_delay().mul_f64(USAGE_SETTLE).as_secs_f64();
         let whole = ((scene.wall.as_secs_f64() - settle) / span).floor() as u64;
--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -223,6 +223,9 @@
     electorate_index: u64,
     commit: u64,
     applied: u64,
+    /// What is applied here was current at some moment of this process's life; after a start it is only
+    /// what the last snapshot held.
+    current: bool,
     durable: u64,
     writes: u64,
     /// The newest write of term and vote.
@@ -288,6 +291,7 @@
             log: stored.log.into(),
             electorate: Vec::new(),
             electorate_index: 0,
+            current: false,
             durable: last,
             writes: 0,
             hard_write: 0,
@@ -379,6 +383,12 @@
         (self.role == Role::Leader).then_some(self.leading.since).flatten()
     }
 
+    /// Whether the state here has been current since the start: a leader has committed an entry of its
+    /// own term, and all of what it had committed is applied here.
+    pub fn current(&self) -> bool {
+        self.current
+    }
+
     /// The entry at an index, while it is not compacted away.
     pub fn entry(&self, index: u64) -> Option<&Entry> {
         self.log.get(index.checked_sub(self.snapshot.index + 1)? as usize)
@@ -782,6 +792,7 @@
         let Some(&index) = held.get(self.quorum() - 1) else { return };
         if index > self.commit && self.term_at(index) == Some(self.term) {
             self.commit_to(index);
+            self.current = true;
             self.settle_reads();
         }
     }
@@ -899,6 +910,7 @@
                 let (success, index) = self.take(prev_index, prev_term, entries);
                 if success {
                     self.commit_to(commit.min(index));
+                    self.current |= self.commit >= commit && self.term_at(self.commit) == Some(self.term);
                 }
                 self.send(from, Body::Appended { round, success, index });
             }
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -266,6 +266,7 @@
                 return self.turn(now);
             }
         }
+        self.publish();
         self.relay.root_heard(now, self.sign_of_leader(now));
         for (to, dance) in self.relay.messages() {
             self.send(to, dance);
@@ -301,10 +302,7 @@
             return;
         }
         match bincode::serde::decode_from_slice(&snapshot.state, bincode::config::standard()) {
-            Ok((ledger, _)) => {
-                self.ledger = ledger;
-                self.publish();
-            }
+            Ok((ledger, _)) => self.ledger = ledger,
             Err(e) => self.pending.push_back(Effect::Alarm(format!("a snapshot can't be read: {e}"))),
         }
     }
@@ -318,11 +316,15 @@
         if entry.mark.proposer == self.proposer && entry.mark.serial != 0 {
             self.decided(now, entry.mark, &outcome);
         }
-        self.publish();
     }
 
     /// Turns what changed in the ledger into facts for the tree.
     fn publish(&mut self) {
+        // A queen that has just started knows only its last snapshot: foragers that start beside it must
+        // not take that for the newest.
+        if !self.raft.current() || self.published == self.ledger.index {
+            return;
+        }
         let mut facts = Vec::new();
         for (key, version) in &self.ledger.changed {
             if *version <= self.published {
