--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -1000,6 +1000,8 @@
     /// The shares have changed: sessions at rest whose service this daemon no longer holds connections
     /// for are closed, a few at a time; their clients come back and are passed on.
     fn move_sessions(&mut self, now: Instant) {
+        self.moves_due = None;
+        // Without a configuration there is no session yet that could have to move.
         let Some(config) = &self.config else { return };
         let elsewhere: Vec<&str> = config
             .backends
@@ -2111,3 +2113,21 @@
         self.ask(now);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Shares come before the first configuration: the forager waits for it asleep.
+    #[test]
+    fn shares_without_a_configuration_leave_nothing_due() {
+        let start = Instant::now();
+        let mut field = Field::new(start, "edge-1", "z", Bounds::default(), 1);
+        let part = carry::Part { ip: Ipv4Addr::LOCALHOST, zone: "z".into() };
+        let parts = Parts::from([("edge-1".to_owned(), part)]);
+        field.learn(start, &[Fact { key: "s/".into(), version: 1, value: Value::Shares(parts) }]);
+        let later = start + MOVE_PAUSE * 2;
+        field.tick(later, 1);
+        assert!(field.next_due() > later);
+    }
+}
