--- a/apiary/src/scenario.rs
+++ b/apiary/src/scenario.rs
@@ -10,6 +10,7 @@
     let mut until = Duration::from_secs(15);
     let mut sync = Duration::from_millis(2);
     let mut cap = None;
+    let (mut idle_services, mut idle_routes) = (0, 0);
     let mut actions = Vec::new();
     let mut expects = Vec::new();
     for line in text.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
@@ -26,6 +27,8 @@
             "foragers" => size.foragers = number()?,
             "clients" => size.clients = number()?,
             "tolerance" => size.tolerance = number()?,
+            "idle-services" => idle_services = number()?,
+            "idle-routes" => idle_routes = number()?,
             "cap" => cap = Some(number()?),
             "sync" => sync = seconds(rest)?,
             "until" => until = seconds(rest)?,
@@ -41,6 +44,8 @@
         let mut world = World::new(seed, size);
         world.sync = sync;
         world.cap = cap.map_or(world.cap, |c| c as u32);
+        world.idle_routes = idle_routes;
+        world.add_idle(idle_services);
         world.plan(Duration::from_secs(2), "config");
         for (at, action) in &actions {
             world.plan(*at, action);
@@ -74,10 +79,17 @@
         "voters" => world.voters().len() as f64,
         "epochs" => world.epoch() as f64,
         "carried" => world.carried as f64,
+        "upkeep" => world.upkeep().0,
+        "most-sent" => world.upkeep().1,
         "leader" => f64::from(u8::from(world.leader().is_some())),
         other => return Err(format!("no such measure: {other}")),
     };
     let exactly = words.get(2) == Some(&"exactly");
-    let holds = if exactly { found == least } else { found >= least };
+    let at_most = words.get(2) == Some(&"at-most");
+    let holds = match () {
+        () if exactly => found == least,
+        () if at_most => found <= least,
+        () => found >= least,
+    };
     if holds { Ok(()) } else { Err(format!("found {found}")) }
 }
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -2,8 +2,9 @@
 
 use crate::instance::{Instance, Log};
 use crate::judge::{End, Judge};
+use brood::connection::session::Position;
 use brood::process::carry::{self, Splice};
-use brood::process::dance::Dance;
+use brood::process::dance::{self, Dance};
 use brood::process::duties::Probed;
 use brood::process::field::{self, Field};
 use brood::process::raft::{Entry, Role, Stored, Write};
@@ -18,6 +19,8 @@
 
 pub const SERVICE: &str = "svc";
 const PROMOTE: Duration = Duration::from_millis(600);
+/// Thin, so that trees grow deep with few daemons.
+const LINK_MBPS: f64 = 2.0;
 const WORK: Duration = Duration::from_millis(6);
 const BEAT: Duration = Duration::from_millis(1200);
 /// Time of day at the world's beginning, since 1970.
@@ -134,6 +137,12 @@
     raced: usize,
     /// What a sync of a disk takes.
     pub sync: Duration,
+    /// Further services, each of one instance that does nothing but beat, and further routes.
+    idle: Vec<Instance>,
+    pub idle_routes: usize,
+    /// Bytes that each daemon has sent to others since the mark, and when that was set.
+    sent: Vec<u64>,
+    marked: Option<Duration>,
 }
 
 /// Tokens of calls by which an instance says that it leaves.
@@ -178,9 +187,13 @@
             clients_on: true,
             raced: 0,
             sync: Duration::from_millis(2),
+            idle: Vec::new(),
+            idle_routes: 0,
+            sent: Vec::new(),
+            marked: None,
         };
         for n in 0..queens + spare + foragers {
-            let ip = Ipv4Addr::new(10, 0, 0, n as u8 + 1);
+            let ip = address(n);
             let kind = if n < queens + spare {
                 let id = world.rng.u64(1..);
                 let disk = Stored { id, ..Stored::default() };
@@ -245,6 +258,22 @@
         self.events.insert(self.next, event);
     }
 
+    /// Services that nobody uses.
+    pub fn add_idle(&mut self, count: usize) {
+        self.idle = (0..count)
+            .map(|n| Instance::new(format!("i-{}", 5000 + n), &format!("idle{n}"), "z0".into(), true))
+            .collect();
+        self.plan(Duration::from_millis(1500), "idlebeats");
+    }
+
+    /// Bytes a second since the mark: the foragers' mean, and the most that one daemon has sent.
+    pub fn upkeep(&self) -> (f64, f64) {
+        let span = self.marked.map_or(1.0, |at| (self.now - at).as_secs_f64());
+        let foragers = self.sent.iter().skip(self.queens);
+        let mean = foragers.sum::<u64>() as f64 / (self.nodes.len() - self.queens).max(1) as f64;
+        (mean / span, self.sent.iter().max().copied().unwrap_or(0) as f64 / span)
+    }
+
     pub fn plan(&mut self, at: Duration, action: &str) {
         let delay = at.saturating_sub(self.now);
         self.after(delay, Event::Do(action.to_owned()));
@@ -260,10 +289,7 @@
         let ip = self.nodes[node].ip;
         // The operator's list as it stands: the first three machines that are there.
         let listed = (0..self.queens).filter(|q| self.nodes.get(*q).map_or(*q < self.founders, |n| !n.gone));
-        let seeds: Vec<String> = listed
-            .take(3)
-            .map(|q| format!("\"{}:80\"", self.nodes.get(q).map_or(Ipv4Addr::new(10, 0, 0, q as u8 + 1), |n| n.ip)))
-            .collect();
+        let seeds: Vec<String> = listed.take(3).map(|q| format!("\"{}:80\"", address(q))).collect();
         let text = format!(
             "node-name = \"n{node}\"\nip = \"{ip}\"\nzone = \"z{}\"\ninternal-ports = [7000, 7001]\nseed-nodes = [{}]\nbootstrap = {bootstrap}\nin-quorum = {}\nbeat-ms = 1200\n[tolerance]\nmachines = {}\n[listen]\ncontrol = \"{ip}:80\"\n[platform]\naddress = \"10.8.0.1:80\"\n",
             node % 3,
@@ -308,7 +334,7 @@
                     settings.timing_bounds.clone(),
                     seed,
                 )));
-                f.relay = Some(Box::new(Relay::new(now, Views::new(card, rng), seeds, false)));
+                f.relay = Some(Box::new(Relay::new(now, Views::new(card, rng), seeds, false, LINK_MBPS)));
                 f.revision = 0;
                 f.floor = self.acked_revision;
             }
@@ -435,7 +461,7 @@
                         Kind::Forager(Forager { field: Some(field), relay: Some(relay), .. }) => {
                             match relay.receive(now, ip, *dance) {
                                 Some(Dance::Grant(grant)) => {
-                                    relay.leader_answered(now, ip, &grant.digests);
+                                    relay.leader_answered(now, ip, grant.digests.as_ref());
                                     field.granted(now, ip, grant);
                                 }
                                 Some(Dance::Led { leader }) => field.led(now, leader),
@@ -571,7 +597,7 @@
             }
             Kind::Forager(f) => {
                 let (Some(field), Some(relay)) = (&mut f.field, &mut f.relay) else { return };
-                field.heard_news(now, relay.age(now), relay.leader(), relay.roots());
+                field.heard_news(now, relay);
                 let news = relay.news();
                 if !news.is_empty() {
                     field.learn(now, &news);
@@ -631,6 +657,9 @@
         if !self.nodes[n].up || self.cuts.contains(&(from, n)) {
             return;
         }
+        if self.marked.is_some() {
+            self.sent[from] += dance::encode(&dance).len() as u64;
+        }
         let (delay, life) = (self.delay(), self.nodes[n].life);
         self.after(delay, Event::Dance(from, n, life, Box::new(dance)));
     }
@@ -657,6 +686,9 @@
             royal::Effect::Probe { token, instance, text } => {
                 let i = self.instances.iter().position(|i| i.id == instance.id && i.up && !i.dark);
                 let result = match i {
+                    None if self.idle.iter().any(|i| i.id == instance.id) => {
+                        Probed::Status { primary: true, term: 1, received: Position { term: 1, number: 0 } }
+                    }
                     None => Probed::Failed,
                     Some(i) => {
                         let key = u64::MAX - token;
@@ -1078,10 +1110,20 @@
             )
         };
         let stale = r#","stale_ms":1500"#;
+        let idle: String = (0..self.idle_routes)
+            .map(|n| {
+                format!("{},", route(&format!("db{:x}", n.wrapping_mul(2_654_435_761) % 0xffff_fff1), "bounded", stale))
+            })
+            .collect();
+        let services: String = self
+            .idle
+            .iter()
+            .map(|i| format!(r#",{{"name":"{}","max-connections":{}}}"#, i.service, self.cap))
+            .collect();
         let keys: Vec<String> =
             self.keys.iter().enumerate().map(|(n, k)| format!(r#"{{"name":"t{n}","api-keys":["{k}"]}}"#)).collect();
         format!(
-            r#"{{"revision":{revision},"routes":[{},{},{}],"backends":[{{"name":"{SERVICE}","max-connections":{}}}],"limits":{{"tx-rest-ms":3000}},"customers":[{}]}}"#,
+            r#"{{"revision":{revision},"routes":[{idle}{},{},{}],"backends":[{{"name":"{SERVICE}","max-connections":{}}}{services}],"limits":{{"tx-rest-ms":3000}},"customers":[{}]}}"#,
             route(ROUTES[0], "primary", ""),
             route(ROUTES[1], "bounded", stale),
             route(ROUTES[2], "own_writes", stale),
@@ -1118,6 +1160,21 @@
         let words: Vec<&str> = action.split_whitespace().collect();
         let who = words.get(1).copied().unwrap_or_default();
         match words.first().copied().unwrap_or_default() {
+            // From here on what daemons say to each other is counted.
+            "mark" => {
+                self.marked = Some(self.now);
+                self.sent = vec![0; self.nodes.len()];
+            }
+            "idlebeats" => {
+                for n in 0..self.idle.len() {
+                    let (service, id) = (self.idle[n].service.clone(), self.idle[n].id.clone());
+                    let body = self.idle[n].beat(&service).into_bytes();
+                    if let Some(q) = self.any_queen() {
+                        self.http(q, 0, "PUT", &format!("/api/instances/{id}"), None, body);
+                    }
+                }
+                self.plan(self.now + BEAT, "idlebeats");
+            }
             "config" => {
                 self.revision += 2;
                 let revision = self.revision;
@@ -1338,6 +1395,10 @@
     }
 }
 
+fn address(n: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, (n / 250) as u8, (n % 250) as u8 + 1)
+}
+
 fn line_key((n, life, conn): (usize, u32, u64)) -> u64 {
     ((n as u64) << 48) | (u64::from(life) << 32) | conn
 }
--- a/brood/src/process/carry.rs
+++ b/brood/src/process/carry.rs
@@ -6,7 +6,7 @@
 
 use super::repair::digest;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -35,49 +35,113 @@
     (sum ^ (sum >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9).rotate_left(31)
 }
 
-/// The foragers that carry a service, or none where all hold connections of their own: those that a
-/// hash of their name and the service's ranks first, of different zones as far as that goes.
-pub fn carriers<'a>(parts: &'a Parts, service: &str, cap: u32) -> Vec<(&'a String, &'a Part)> {
-    let usable = cap.saturating_sub(RESERVED).max(1);
-    if parts.is_empty() || usable / parts.len() as u32 >= DIRECT_MIN {
+/// Who holds connections to a service's instances, and how many of them.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Holding {
+    /// The foragers that carry it; none where all hold connections of their own.
+    pub carriers: Vec<(String, Part)>,
+    /// Connections to one instance that this daemon may hold.
+    pub share: usize,
+}
+
+/// Who carries what, reckoned once for the shares and services in force.
+#[derive(Debug, Default)]
+pub struct Roster {
+    me: String,
+    holdings: BTreeMap<String, Holding>,
+}
+
+/// How many services a forager carries before another is taken, in terms of an even spread.
+const SLACK: f64 = 1.25;
+
+impl Roster {
+    /// `services` are their names and caps, in an order that all daemons share. A service is carried by
+    /// the foragers that a hash of their name and the service's ranks first, of different zones as far as
+    /// that goes, but none carries many more services than the others.
+    pub fn new<'a>(me: &str, parts: &Parts, services: impl IntoIterator<Item = (&'a str, u32)>) -> Self {
+        let zones = parts.values().map(|p| &p.zone).collect::<BTreeSet<_>>().len();
+        let counted = |cap: u32| {
+            let usable = cap.saturating_sub(RESERVED).max(1);
+            if parts.is_empty() || usable / parts.len() as u32 >= DIRECT_MIN {
+                return (usable, 0);
+            }
+            let count = zones.min((usable / CARRIER_SHARE) as usize).max(CARRIERS_MIN).min(parts.len());
+            (usable, count)
+        };
+        let services: Vec<(&str, u32, usize)> =
+            services.into_iter().map(|(name, cap)| (name, counted(cap).0, counted(cap).1)).collect();
+        let places: usize = services.iter().map(|(.., count)| count).sum();
+        let most = (places as f64 / parts.len().max(1) as f64 * SLACK).ceil() as usize;
+        let mut load: HashMap<&str, usize> = HashMap::new();
+        let mut holdings = BTreeMap::new();
+        for (service, usable, count) in services {
+            let carriers = choose(parts, service, count, most, &mut load);
+            let share = if carriers.is_empty() {
+                // One that is not counted yet leaves the others theirs.
+                let heads = parts.len() as u32 + if parts.contains_key(me) { 0 } else { 10 };
+                (usable / heads.max(1)).max(1) as usize
+            } else if carriers.iter().any(|(n, _)| n == me) {
+                (usable as usize / carriers.len()).max(1)
+            } else {
+                // Only for sessions that found no carrier or have not moved yet; what is reserved covers
+                // the few there are.
+                1
+            };
+            holdings.insert(service.to_owned(), Holding { carriers, share });
+        }
+        Roster { me: me.to_owned(), holdings }
+    }
+
+    pub fn holding(&self, service: &str) -> Option<&Holding> {
+        self.holdings.get(service)
+    }
+
+    /// Services that this daemon carries.
+    pub fn carried(&self) -> impl Iterator<Item = &String> {
+        self.holdings.iter().filter(|(_, h)| h.carriers.iter().any(|(n, _)| *n == self.me)).map(|(s, _)| s)
+    }
+
+    /// Whether others carry the service.
+    pub fn elsewhere(&self, service: &str) -> bool {
+        self.holding(service).is_some_and(|h| !h.carriers.is_empty() && h.carriers.iter().all(|(n, _)| *n != self.me))
+    }
+
+    /// Where a tenant's sessions on a service go, the best first; empty where they are served here. A
+    /// tenant's are in one place, since its connections serve nobody else and each is opened for it.
+    pub fn homes(&self, service: &str, tenant: &str) -> Vec<Ipv4Addr> {
+        let Some(holding) = self.holding(service) else { return Vec::new() };
+        let mut homes: Vec<_> = holding.carriers.iter().collect();
+        homes.sort_by_cached_key(|(name, _)| std::cmp::Reverse(rank(&[service, tenant, name])));
+        // From the one that it would be served by here on, nothing is gained by passing it on.
+        homes.into_iter().take_while(|(name, _)| *name != self.me).map(|(_, part)| part.ip).collect()
+    }
+}
+
+fn choose<'a>(
+    parts: &'a Parts,
+    service: &str,
+    count: usize,
+    most: usize,
+    load: &mut HashMap<&'a str, usize>,
+) -> Vec<(String, Part)> {
+    if count == 0 {
         return Vec::new();
     }
-    let zones = parts.values().map(|p| &p.zone).collect::<BTreeSet<_>>().len();
-    let count = zones.min((usable / CARRIER_SHARE) as usize).max(CARRIERS_MIN).min(parts.len());
-    let mut all: Vec<(u64, &String, &Part)> = parts.iter().map(|(n, p)| (rank(&[service, n]), n, p)).collect();
+    let mut all: Vec<(u64, &'a String, &'a Part)> = parts.iter().map(|(n, p)| (rank(&[service, n]), n, p)).collect();
     all.sort_unstable_by_key(|(rank, ..)| std::cmp::Reverse(*rank));
-    let mut chosen: Vec<(&String, &Part)> = Vec::with_capacity(count);
-    for fresh in [true, false] {
+    let mut chosen: Vec<(&'a String, &'a Part)> = Vec::with_capacity(count);
+    for (fresh, most) in [(true, most), (false, most), (false, usize::MAX)] {
         for (_, name, part) in &all {
             let known = chosen.iter().any(|(n, _)| n == name);
             let new_zone = chosen.iter().all(|(_, p)| p.zone != part.zone);
-            if chosen.len() < count && !known && (new_zone || !fresh) {
+            let carried = load.get(name.as_str()).copied().unwrap_or(0);
+            if chosen.len() < count && !known && carried < most && (new_zone || !fresh) {
                 chosen.push((name, part));
+                *load.entry(name.as_str()).or_default() += 1;
             }
         }
     }
-    chosen
-}
-
-/// How many connections a forager may hold to an instance of a service.
-pub fn share(parts: &Parts, service: &str, cap: u32, me: &str) -> usize {
-    let usable = cap.saturating_sub(RESERVED).max(1);
-    let carriers = carriers(parts, service, cap);
-    if carriers.is_empty() {
-        // One that is not counted yet leaves the others theirs.
-        let heads = parts.len() as u32 + if parts.contains_key(me) { 0 } else { 10 };
-        return (usable / heads.max(1)).max(1) as usize;
-    }
-    // One that does not carry needs a connection only for sessions that found no carrier or have not
-    // moved yet; what is reserved covers the few there are.
-    if carriers.iter().any(|(n, _)| *n == me) { (usable as usize / carriers.len()).max(1) } else { 1 }
-}
-
-/// Where a tenant's sessions on a service go, the best first; empty where they are served here.
-pub fn homes(parts: &Parts, service: &str, cap: u32, tenant: &str) -> Vec<(String, Ipv4Addr)> {
-    let mut homes = carriers(parts, service, cap);
-    homes.sort_by_cached_key(|(name, _)| std::cmp::Reverse(rank(&[service, tenant, name])));
-    homes.into_iter().map(|(name, part)| (name.clone(), part.ip)).collect()
+    chosen.into_iter().map(|(n, p)| (n.clone(), p.clone())).collect()
 }
 
 /// The word by which foragers tell each other, on a carried session, which version they go by.
@@ -222,27 +286,39 @@
             .collect()
     }
 
+    fn roster(me: &str, parts: &Parts, services: &[(String, u32)]) -> Roster {
+        Roster::new(me, parts, services.iter().map(|(name, cap)| (name.as_str(), *cap)))
+    }
+
+    fn services(n: usize, cap: u32) -> Vec<(String, u32)> {
+        (0..n).map(|s| (format!("s{s}"), cap)).collect()
+    }
+
     #[test]
     fn few_connections_are_held_by_few_and_never_more_than_the_cap() {
-        assert!(carriers(&parts(7), "s", 60).is_empty(), "enough for everybody");
-        assert_eq!(share(&parts(7), "s", 60, "edge-1"), 8);
-        let all = parts(86);
-        let carry = carriers(&all, "s", 59);
-        assert_eq!(carry.len(), 3);
-        let zones: BTreeSet<_> = carry.iter().map(|(_, p)| &p.zone).collect();
-        assert_eq!(zones.len(), 3, "spread over zones");
-        let total: usize = carry.iter().map(|(n, _)| share(&all, "s", 59, n)).sum();
-        assert!(total > 45 && total <= 59 - RESERVED as usize, "{total} in all");
+        let small = roster("edge-1", &parts(7), &services(1, 60));
+        assert!(small.homes("s0", "t").is_empty(), "enough for everybody");
+        assert_eq!(small.holding("s0").map(|h| h.share), Some(8));
+        let (all, services) = (parts(86), services(30, 59));
+        let view = roster("out", &all, &services);
+        let mut loads: BTreeMap<String, usize> = BTreeMap::new();
+        for (service, _) in &services {
+            let carriers = &view.holding(service).expect("known").carriers;
+            let zones: BTreeSet<_> = carriers.iter().map(|(_, p)| &p.zone).collect();
+            assert_eq!((carriers.len(), zones.len()), (3, 3), "spread over zones");
+            carriers.iter().for_each(|(n, _)| *loads.entry(n.clone()).or_default() += 1);
+            let share = |(n, _): &(String, Part)| roster(n, &all, &services).holding(service).map_or(0, |h| h.share);
+            let total: usize = carriers.iter().map(share).sum();
+            assert!(total > 45 && total <= 59 - RESERVED as usize, "{total} in all");
+        }
+        assert!(loads.values().all(|n| *n <= 2), "no forager carries many: {loads:?}");
         // One more or fewer forager changes little.
         let mut fewer = all.clone();
         fewer.remove("edge-40");
-        let same = (0..30).filter(|s| {
-            let service = format!("s{s}");
-            let names = |p: &Parts| carriers(p, &service, 59).iter().map(|(n, _)| (*n).clone()).collect::<Vec<_>>();
-            names(&all) == names(&fewer)
-        });
-        assert!(same.count() >= 27);
-        let spread: BTreeSet<String> = (0..40).map(|t| homes(&all, "s", 59, &format!("t{t}"))[0].0.clone()).collect();
+        let other = roster("out", &fewer, &services);
+        let same = services.iter().filter(|(s, _)| view.holding(s) == other.holding(s)).count();
+        assert!(same >= 24, "{same} of 30 stay");
+        let spread: BTreeSet<Ipv4Addr> = (0..40).map(|t| view.homes("s0", &format!("t{t}"))[0]).collect();
         assert_eq!(spread.len(), 3, "tenants spread over the carriers");
     }
 
--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -81,14 +81,16 @@
     },
 }
 
-/// A parent's sign of life: how old its news is, who leads, and digests of its copies.
+/// A parent's sign of life: how old its news is, who leads, and what tells whether copies differ.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Pulse {
     /// Age of the newest sign of the leader.
     pub age: Duration,
     pub depth: u8,
     pub leader: Option<Ipv4Addr>,
-    pub digests: Digests,
+    /// Over all digests; they themselves only where they have changed since the last pulse.
+    pub sum: u64,
+    pub digests: Option<Digests>,
 }
 
 /// What a forager tells the leader now and then, asking for leases.
@@ -101,10 +103,14 @@
     pub life: u64,
     /// Requests begun by window and tenant, whole so far.
     pub usage: BTreeMap<u64, BTreeMap<String, u64>>,
+    /// The services that leases are asked for.
+    pub wants: Vec<String>,
     /// Primaries seen: service, epoch, how long it has been silent although asked.
     pub sights: Vec<Sight>,
-    /// Busy connections lately, over all instances.
+    /// Connections at work, over all instances.
     pub demand: u32,
+    /// Over the digests of the copies here.
+    pub sum: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -121,23 +127,80 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
     pub nonce: u64,
-    /// Service, epoch: leases from the asking on.
+    /// Service, epoch, as far as asked for: leases from the asking on.
     pub leases: Vec<(String, u64)>,
     pub span: Duration,
     /// Windows up to and including this one are reported; no need to tell of them again.
     pub reported: Option<u64>,
-    /// Of the leader's copies, for those whose news comes late.
-    pub digests: Digests,
+    /// Of the leader's copies, for one whose copies differ.
+    pub digests: Option<Digests>,
 }
 
 /// Frames are bounded; nothing daemons say comes near this.
 pub const FRAME_MAX: usize = 8 << 20;
 
+/// Longer ones are packed on the way: links are thin, and bytes between zones dear.
+const PACK_FROM: usize = 1024;
+const LEVEL: i32 = 1;
+const PLAIN: u8 = 0;
+const PACKED: u8 = 1;
+
 pub fn encode(dance: &Dance) -> Vec<u8> {
-    bincode::serde::encode_to_vec(dance, bincode::config::standard()).unwrap_or_default()
+    let mut bytes = vec![PLAIN];
+    let config = bincode::config::standard();
+    if bincode::serde::encode_into_std_write(dance, &mut bytes, config).is_err() {
+        return Vec::new();
+    }
+    if bytes.len() > PACK_FROM
+        && let Ok(packed) = zstd::bulk::compress(&bytes[1..], LEVEL)
+    {
+        bytes.truncate(1);
+        bytes[0] = PACKED;
+        bytes.extend_from_slice(&packed);
+    }
+    bytes
 }
 
 pub fn decode(bytes: &[u8]) -> Option<Dance> {
-    let (dance, used) = bincode::serde::decode_from_slice(bytes, bincode::config::standard()).ok()?;
-    (used == bytes.len()).then_some(dance)
+    let (kind, body) = bytes.split_first()?;
+    let config = bincode::config::standard();
+    let whole = |body: &[u8]| {
+        let (dance, used) = bincode::serde::decode_from_slice(body, config).ok()?;
+        (used == body.len()).then_some(dance)
+    };
+    match *kind {
+        PLAIN => whole(body),
+        PACKED => {
+            let length = zstd::zstd_safe::get_frame_content_size(body).ok()??;
+            let length = usize::try_from(length).ok().filter(|n| *n <= FRAME_MAX)?;
+            whole(&zstd::bulk::decompress(body, length).ok()?)
+        }
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn long_messages_are_packed_and_torn_ones_are_refused() {
+        let facts = |n: usize| {
+            let fact = |i| Fact {
+                key: format!("d/i-{i}"),
+                version: i as u64,
+                value: super::super::repair::Value::Drain { id: format!("i-{i}") },
+            };
+            Dance::Facts((0..n).map(fact).collect())
+        };
+        for n in [0, 3, 400] {
+            let bytes = encode(&facts(n));
+            assert_eq!(decode(&bytes), Some(facts(n)));
+            assert!(bytes.len() < 4000, "{} bytes", bytes.len());
+            for cut in [0, 1, bytes.len() / 2, bytes.len() - 1] {
+                assert_eq!(decode(&bytes[..cut]), None, "{n} facts cut at {cut}");
+            }
+        }
+        assert_eq!(decode(&[7, 0, 0]), None);
+    }
 }
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -47,6 +47,8 @@
 /// A forager that has not asked for this long no longer counts for shares: long enough for one that is
 /// restarted to find its part untouched, and for a lost one's connections to be gone.
 const FORAGER_GONE: Duration = Duration::from_secs(20);
+/// What needs a look over all foragers is looked at this often.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
 const SHARES_PAUSE: Duration = Duration::from_millis(1000);
 /// Share of the usage delay after which a window's counts are taken as whole.
 const USAGE_SETTLE: f64 = 0.35;
@@ -116,6 +118,14 @@
     recalled: Option<Instant>,
 }
 
+/// How many foragers see a primary fail, answer, or answer that it has lost the lead.
+#[derive(Debug, Clone, Copy, Default)]
+struct Told {
+    failing: u32,
+    healthy: u32,
+    deposed: u32,
+}
+
 #[derive(Debug)]
 struct Forager {
     name: String,
@@ -230,10 +240,11 @@
         self.begin(now, scene.term);
         self.counts.entry((ask.node.clone(), ask.life)).or_default().extend(ask.usage);
         let mut leases = Vec::new();
-        for (service, epoch) in &scene.ledger.epochs {
-            let moving = self.moves.get(service).is_some_and(|m| m.proposed.is_some());
-            if !epoch.closed && !moving {
-                leases.push((service.clone(), epoch.epoch));
+        for service in ask.wants {
+            let open = scene.ledger.epochs.get(&service).filter(|e| !e.closed).map(|e| e.epoch);
+            let moving = self.moves.get(&service).is_some_and(|m| m.proposed.is_some());
+            if let Some(epoch) = open.filter(|_| !moving) {
+                leases.push((service, epoch));
             }
         }
         let forager = self.foragers.entry(from).or_insert_with(|| Forager {
@@ -294,17 +305,41 @@
     /// One step of every duty. Called by a confirmed leader only.
     pub fn drive(&mut self, scene: &Scene) {
         self.begin(scene.now, scene.term);
-        let mut services: BTreeSet<String> = scene.registry.services().into_iter().collect();
+        let mut services: BTreeSet<String> = scene.registry.services().cloned().collect();
         services.extend(scene.ledger.epochs.keys().cloned());
+        let told = self.told(scene);
         for service in services {
-            self.drive_service(scene, &service);
+            let told = told.get(&service).copied().unwrap_or_default();
+            self.drive_service(scene, &service, told);
         }
         self.drive_stepdowns(scene);
         self.drive_shares(scene);
         self.drive_usage(scene);
     }
 
-    fn drive_service(&mut self, scene: &Scene, service: &str) {
+    /// What the foragers saw of the primaries lately, by service.
+    fn told(&self, scene: &Scene) -> BTreeMap<String, Told> {
+        let mut all: BTreeMap<String, Told> = BTreeMap::new();
+        for forager in self.foragers.values().filter(|f| scene.now.duration_since(f.heard) < SIGHT_KEEP) {
+            let age = scene.now.duration_since(forager.heard);
+            for sight in &forager.sights {
+                if scene.ledger.epochs.get(&sight.service).is_none_or(|e| e.epoch != sight.epoch) {
+                    continue;
+                }
+                let healthy = !sight.failing && sight.heard.is_some_and(|h| h + age < SIGHT_FRESH);
+                let told = match all.get_mut(&sight.service) {
+                    Some(told) => told,
+                    None => all.entry(sight.service.clone()).or_default(),
+                };
+                told.failing += u32::from(sight.failing);
+                told.healthy += u32::from(healthy);
+                told.deposed += u32::from(sight.deposed);
+            }
+        }
+        all
+    }
+
+    fn drive_service(&mut self, scene: &Scene, service: &str, told: Told) {
         let now = scene.now;
         let mut work = self.moves.remove(service).unwrap_or_default();
         if work.proposed.is_some_and(|at| now.duration_since(at) > Duration::from_secs(1)) {
@@ -315,7 +350,7 @@
             Some(e) if !e.closed => {
                 work.clear = None;
                 if work.proposed.is_none()
-                    && let Some(why) = self.must_replace(scene, service, &e.primary.clone(), e.epoch, &mut work)
+                    && let Some(why) = self.must_replace(scene, service, &e.primary, told, &mut work)
                 {
                     work.proposed = Some(now);
                     work.recalled = Some(now);
@@ -372,7 +407,7 @@
         scene: &Scene,
         service: &str,
         primary: &str,
-        epoch: u64,
+        told: Told,
         work: &mut Move,
     ) -> Option<String> {
         let now = scene.now;
@@ -381,19 +416,7 @@
             let heir = scene.registry.of_service(service).any(|i| i.id != primary && !scene.leaves(&i.id));
             return heir.then(|| "the primary leaves".to_owned());
         }
-        let (mut failing, mut healthy, mut deposed) = (0, 0, 0);
-        for forager in self.foragers.values().filter(|f| now.duration_since(f.heard) < SIGHT_KEEP) {
-            let Some(sight) = forager.sights.iter().find(|s| s.service == service && s.epoch == epoch) else {
-                continue;
-            };
-            let age = now.duration_since(forager.heard);
-            deposed += u32::from(sight.deposed);
-            if sight.failing {
-                failing += 1;
-            } else if sight.heard.is_some_and(|h| h + age < SIGHT_FRESH) {
-                healthy += 1;
-            }
-        }
+        let Told { failing, healthy, deposed } = told;
         let silent = scene.registry.silence(now, primary).is_none_or(|s| s > self.beat * BEATS_MISSED);
         let other = scene.registry.of_service(service).any(|i| i.id != primary && i.primary);
         if failing == 0 && deposed == 0 && !(silent && healthy == 0) && !other {
@@ -573,6 +596,7 @@
         if self.shares_after.is_some_and(|at| now < at) {
             return;
         }
+        self.shares_after = Some(now + LOOK_PAUSE);
         let ledger = &scene.ledger.parts;
         let mut parts = Parts::new();
         for (ip, forager) in &self.foragers {
@@ -629,6 +653,7 @@
             }
             return;
         }
+        self.usage_after = Some(now + LOOK_PAUSE);
         let last = ledger.reports.keys().next_back().copied().unwrap_or(0);
         let mut sums: BTreeMap<u64, BTreeMap<String, u64>> = BTreeMap::new();
         for windows in self.counts.values() {
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -2,8 +2,9 @@
 //!
 //! Inputs are bytes, ends and the moment; outputs are what to send, open and close.
 
-use super::carry::{self, Parts};
+use super::carry::{self, Parts, Roster};
 use super::dance::{Ask, Dance, Grant, Sight};
+use super::relay::Relay;
 use super::repair::{Fact, Instance, Value};
 use super::settings::Bounds;
 use crate::connection::instance::{Answer, Conn, Expect, Use};
@@ -44,8 +45,8 @@
     Retry(SessionId, u64),
 }
 
-/// Connections taken to be allowed where no configuration names the service.
-const UNKNOWN_CAP: u32 = 8;
+/// Connections to an instance held where no configuration names the service.
+const UNKNOWN_SHARE: usize = 1;
 /// Share of the statement's deadline that a request is held without having been sent.
 const HOLD: f64 = 0.45;
 /// A read is tried elsewhere after this share of its aim in silence, but not before `HEDGE_FLOOR`.
@@ -62,7 +63,7 @@
 const LOST_PAUSE: Duration = Duration::from_millis(5);
 /// Share of its aim that a request waits for one of its tenant's connections before another is opened.
 const OPEN_AFTER: f64 = 0.35;
-/// What opening a connection is taken to cost when instances are compared, in ms.
+/// What opening a connection is taken to cost when instances are compared, in ms, until it is known.
 const OPEN_COST: f64 = 8.0;
 /// Connections to one instance that are opened at the same time: each takes one of its slots for a while.
 const OPENING_MAX: usize = 2;
@@ -87,6 +88,10 @@
 /// How often leases are asked for, and sooner when something is wrong.
 const ASK: Duration = Duration::from_millis(400);
 const ASK_SOON: Duration = Duration::from_millis(80);
+/// A lease is asked for this long after the service was last used here.
+const WANT_KEEP: Duration = Duration::from_secs(10);
+/// What was last heard of a primary so long ago tells the leader nothing.
+const SIGHT_KEEP: Duration = Duration::from_secs(2);
 /// Without an answer for this long, the other daemons that keep the log are asked too.
 const GRANT_PATIENCE: Duration = Duration::from_millis(700);
 /// After a recall, open work on a primary that still answers gets this long.
@@ -129,6 +134,8 @@
     position: Option<Position>,
     /// Answer time, smoothed, in ms.
     pace: f64,
+    /// Time that opening a connection takes, smoothed, in ms.
+    opening: f64,
     drains_since: Option<Instant>,
     /// How many statements may be with it at once, and when that was last lowered.
     window: f64,
@@ -164,6 +171,10 @@
     drains: VecDeque<(String, Instant)>,
     services: BTreeMap<String, Service>,
     parts: Parts,
+    /// Who carries what, by the shares and the configuration in force.
+    roster: Roster,
+    /// Instances by service.
+    members: HashMap<String, Vec<String>>,
     /// When sessions whose service is carried elsewhere by now are looked for.
     moves_due: Option<Instant>,
     /// The newest version that was seen at work by way of this daemon: it does not go back behind it.
@@ -180,10 +191,16 @@
     /// The leader as the tree last told it.
     told_leader: Option<Ipv4Addr>,
     news_at: Option<Instant>,
+    copies_sum: u64,
     ask_due: Instant,
+    /// Not before this does a lease or a recall end.
+    lease_due: Option<Instant>,
+    /// Services that sessions here have used, and when last: for these leases are asked.
+    wanted: BTreeMap<String, Instant>,
+    /// Leases that were recalled are still in use.
+    recalling: bool,
     nonce: u64,
     asked: VecDeque<(u64, Instant)>,
-    peak: u32,
     leaving: Option<Instant>,
     finished: bool,
     out: Vec<Effect>,
@@ -204,6 +221,8 @@
             drains: VecDeque::new(),
             services: BTreeMap::new(),
             parts: Parts::new(),
+            roster: Roster::default(),
+            members: HashMap::new(),
             moves_due: None,
             required: 0,
             next_conn: 1,
@@ -216,10 +235,13 @@
             granted_at: now,
             told_leader: None,
             news_at: None,
+            copies_sum: 0,
             ask_due: now,
+            lease_due: None,
+            wanted: BTreeMap::new(),
+            recalling: false,
             nonce: 0,
             asked: VecDeque::new(),
-            peak: 0,
             leaving: None,
             finished: false,
             out: Vec::new(),
@@ -248,9 +270,13 @@
 
     // ---- news -------------------------------------------------------------------------------
 
-    /// How fresh the tree's news is and who leads.
-    pub fn heard_news(&mut self, now: Instant, age: Option<Duration>, leader: Option<Ipv4Addr>, queens: Vec<Ipv4Addr>) {
-        self.queens = queens;
+    /// How fresh the tree's news is, who leads, and what the copies hold.
+    pub fn heard_news(&mut self, now: Instant, relay: &Relay) {
+        if self.queens != relay.roots() {
+            self.queens = relay.roots().to_vec();
+        }
+        self.copies_sum = relay.copies.sum();
+        let (age, leader) = (relay.age(now), relay.leader());
         if let Some(at) = age.and_then(|a| now.checked_sub(a)) {
             self.news_at = Some(at);
         }
@@ -262,10 +288,13 @@
     }
 
     pub fn learn(&mut self, now: Instant, facts: &[Fact]) {
+        let mut shares = false;
         for fact in facts {
             match &fact.value {
                 Value::Config(raw) => {
-                    self.adopt(raw);
+                    if self.adopt(raw) {
+                        self.moves_due = Some(now + MOVE_PAUSE);
+                    }
                     self.proceed_all(now);
                 }
                 Value::Epoch { service, epoch, primary, term, closed } => {
@@ -292,33 +321,61 @@
                     }
                     self.drain(now, now, id);
                 }
-                Value::Shares(parts) => {
-                    self.parts = parts.clone();
-                    self.moves_due = Some(now + MOVE_PAUSE);
-                    self.shrink(now);
+                Value::Share { name, part } => {
+                    match part {
+                        Some(part) => self.parts.insert(name.clone(), part.clone()),
+                        None => self.parts.remove(name),
+                    };
+                    shares = true;
                 }
                 Value::Instance(instance) => self.learn_instance(now, instance),
-                Value::Queens(_) => {}
+                // Held unpacked.
+                Value::Queens(_) | Value::Packed { .. } => {}
             }
         }
+        if shares {
+            self.reckon();
+            self.moves_due = Some(now + MOVE_PAUSE);
+            self.shrink(now);
+        }
         self.release_held(now, None);
     }
 
-    fn adopt(&mut self, raw: &[u8]) {
+    /// Goes by a configuration; says whether that changed who carries what.
+    fn adopt(&mut self, raw: &[u8]) -> bool {
         match config::read(raw) {
             Ok(document) if document.revision > self.revision() => {
-                self.config = Some(Configuration::new(&document));
-                for name in self.config.iter().flat_map(|c| c.backends.keys()) {
+                let config = Configuration::new(&document);
+                for name in config.backends.keys() {
                     self.services.entry(name.clone()).or_default();
                 }
+                let same = self.config.as_ref().is_some_and(|c| c.backends == config.backends);
+                self.config = Some(config);
+                if !same {
+                    self.reckon();
+                }
+                return !same;
             }
             Ok(_) => {}
             Err(why) => self.out.push(Effect::Note(format!("a committed configuration can't be read: {why}"))),
         }
+        false
+    }
+
+    /// Reckons anew who carries what.
+    fn reckon(&mut self) {
+        let Some(config) = &self.config else { return };
+        let services = config.backends.values().map(|b| (b.name.as_str(), b.max_connections));
+        self.roster = Roster::new(&self.node, &self.parts, services);
     }
 
     fn learn_instance(&mut self, now: Instant, instance: &Instance) {
         let address = instance.address.parse().ok();
+        let members = self.members.entry(instance.service.clone()).or_default();
+        if !members.contains(&instance.id) {
+            members.push(instance.id.clone());
+            members.sort_unstable();
+        }
         let bee = self.bees.entry(instance.id.clone()).or_insert_with(|| Bee {
             instance: instance.clone(),
             address,
@@ -330,6 +387,7 @@
             fails: 0,
             position: None,
             pace: 10.0,
+            opening: OPEN_COST,
             drains_since: None,
             window: WIDEST,
             narrowed: None,
@@ -369,13 +427,24 @@
         for sid in waiting {
             self.dispatch(now, sid);
         }
-        if gone && !is_primary {
-            self.bees.remove(id);
+        if gone
+            && !is_primary
+            && let Some(bee) = self.bees.remove(id)
+            && let Some(members) = self.members.get_mut(&bee.instance.service)
+        {
+            members.retain(|m| m != id);
         }
     }
 
     fn is_primary(&self, id: &str) -> bool {
-        self.services.values().any(|s| s.primary == id)
+        let service = self.bees.get(id).and_then(|b| self.services.get(&b.instance.service));
+        service.is_some_and(|s| s.primary == id)
+    }
+
+    /// The instances of a service, as far as they are known.
+    fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = (&'a String, &'a Bee)> {
+        let ids = self.members.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.bees.get(id).map(|bee| (id, bee)))
     }
 
     // ---- leases -----------------------------------------------------------------------------
@@ -408,16 +477,20 @@
             self.asked.pop_front();
         }
         let sights = self.sights(now);
+        self.wanted.retain(|_, at| now.duration_since(*at) < WANT_KEEP);
+        let carried = self.roster.carried().filter(|s| !self.wanted.contains_key(*s)).cloned();
+        let wants = self.wanted.keys().cloned().chain(carried).collect();
         let ask = Ask {
             nonce: self.nonce,
             node: self.node.clone(),
             zone: self.zone.clone(),
             life: self.life,
             usage: self.usage.clone(),
+            wants,
             sights,
-            demand: self.peak,
+            demand: self.conns.values().filter(|c| matches!(c.usage, Use::Busy(_))).count() as u32,
+            sum: self.copies_sum,
         };
-        self.peak = 0;
         for queen in asked {
             self.out.push(Effect::Send(queen, Dance::Ask(ask.clone())));
         }
@@ -428,7 +501,8 @@
         for (name, s) in &self.services {
             let Some(bee) = self.bees.get(&s.primary) else { continue };
             let failing = self.failing(now, bee);
-            if bee.heard.is_none() && !failing && !s.deposed {
+            let recent = bee.heard.is_some_and(|h| now.duration_since(h) < SIGHT_KEEP);
+            if !recent && !failing && !s.deposed {
                 continue;
             }
             sights.push(Sight {
@@ -465,6 +539,19 @@
         }
     }
 
+    /// A session here uses the service: its lease is asked for, at once if it was not before.
+    fn want(&mut self, now: Instant, service: &str) {
+        match self.wanted.get_mut(service) {
+            Some(at) => *at = now,
+            None => {
+                self.wanted.insert(service.to_owned(), now);
+                if self.services.get(service).is_none_or(|s| s.lease.is_none()) {
+                    self.ask_due = now;
+                }
+            }
+        }
+    }
+
     fn ask_soon(&mut self, now: Instant) {
         self.ask_due = self.ask_due.min(now + ASK_SOON);
     }
@@ -474,6 +561,7 @@
         self.leader = Some(from);
         self.granted_at = now;
         let until = asked + grant.span;
+        self.lease_due = Some(self.lease_due.map_or(until, |due| due.min(until)));
         for (service, epoch) in grant.leases {
             let s = self.services.entry(service).or_default();
             if s.recalled.is_some_and(|(e, ..)| e >= epoch) {
@@ -509,6 +597,7 @@
             s.recalled = Some((epoch, until, from));
         }
         self.finish_recalls(now);
+        self.reckon_leases();
     }
 
     fn finish_recalls(&mut self, now: Instant) {
@@ -680,6 +769,10 @@
                 session.database = database.to_owned();
                 session.key = key.to_owned();
                 session.open = true;
+                let service = self.config.as_ref().and_then(|c| c.routes.get(database)).map(|r| r.service.clone());
+                if let Some(service) = service {
+                    self.want(now, &service);
+                }
                 self.say(sid, "READY I -\r\n".into());
             }
             "QUERY" if session.open => {
@@ -800,6 +893,8 @@
             Tx::Lazy { route, .. } | Tx::Bound { route, .. } => route.clone(),
             _ => route,
         };
+        self.want(now, &route.service);
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
         let number = self.next_op;
         self.next_op += 1;
         let deadline = now + route.deadline;
@@ -932,12 +1027,8 @@
             s == service && op.route.kind == Kind::OwnWrites && *p == position && now.duration_since(*at) < OWN_LAG
         });
         let mut best: Option<(f64, &str)> = None;
-        for (id, bee) in &self.bees {
-            if bee.instance.service != service
-                || id == primary
-                || !self.usable(now, bee, false)
-                || op.tried.contains(id)
-            {
+        for (id, bee) in self.of_service(service) {
+            if id == primary || !self.usable(now, bee, false) || op.tried.contains(id) {
                 continue;
             }
             let holds = bee.position.is_some_and(|p| p >= position);
@@ -948,7 +1039,7 @@
                 + bee.waiting.len();
             let distance = if bee.instance.zone == self.zone { 0.0 } else { 4.0 };
             let idle = |c: &ConnId| self.conns.get(c).is_some_and(|c| c.usage == Use::Idle && c.tenant == op.tenant);
-            let opening = if bee.conns.iter().any(idle) { 0.0 } else { OPEN_COST };
+            let opening = if bee.conns.iter().any(idle) { 0.0 } else { bee.opening };
             let slots = f64::from(bee.instance.capacity.max(1));
             let cost = bee.pace * (1.0 + busy as f64 / slots) + distance + opening + if holds { 0.0 } else { 3.0 };
             if best.is_none_or(|(c, _)| cost < c) {
@@ -980,8 +1071,7 @@
 
     /// How many connections this daemon may hold to an instance of the service.
     fn share(&self, service: &str) -> usize {
-        let cap = self.config.as_ref().and_then(|c| c.backends.get(service)).map_or(UNKNOWN_CAP, |b| b.max_connections);
-        carry::share(&self.parts, service, cap, &self.node)
+        self.roster.holding(service).map_or(UNKNOWN_SHARE, |h| h.share)
     }
 
     /// Where a session that begins with this line is served: empty for here.
@@ -991,10 +1081,7 @@
         let Some(config) = self.config.as_ref().filter(|_| kind == "CONNECT") else { return Vec::new() };
         let Ok(tenant) = config.admit(database, key) else { return Vec::new() };
         let Some(route) = config.routes.get(database) else { return Vec::new() };
-        let cap = config.backends.get(&route.service).map_or(UNKNOWN_CAP, |b| b.max_connections);
-        let homes = carry::homes(&self.parts, &route.service, cap, &tenant);
-        // From the one that it would be served by here on, nothing is gained by passing it on.
-        homes.into_iter().take_while(|(name, _)| *name != self.node).map(|(_, ip)| ip).collect()
+        self.roster.homes(&route.service, &tenant)
     }
 
     /// The shares have changed: sessions at rest whose service this daemon no longer holds connections
@@ -1003,18 +1090,8 @@
         self.moves_due = None;
         // Without a configuration there is no session yet that could have to move.
         let Some(config) = &self.config else { return };
-        let elsewhere: Vec<&str> = config
-            .backends
-            .values()
-            .filter(|b| {
-                let carriers = carry::carriers(&self.parts, &b.name, b.max_connections);
-                !carriers.is_empty() && carriers.iter().all(|(n, _)| **n != self.node)
-            })
-            .map(|b| b.name.as_str())
-            .collect();
-        let moves = |s: &Session| {
-            s.open && config.routes.get(&s.database).is_some_and(|r| elsewhere.contains(&r.service.as_str()))
-        };
+        let moves =
+            |s: &Session| s.open && config.routes.get(&s.database).is_some_and(|r| self.roster.elsewhere(&r.service));
         let rests = |s: &Session| s.at_rest() && s.heard.is_none_or(|at| now.duration_since(at) > QUIET);
         let all = || self.sessions.iter().filter(|(_, s)| moves(s));
         let going: Vec<SessionId> = all().filter(|(_, s)| rests(s)).map(|(id, _)| *id).take(CLOSED_AT_ONCE).collect();
@@ -1235,7 +1312,6 @@
                 None => begin.to_owned(),
             });
         }
-        self.peak = self.peak.max(self.conns.values().filter(|c| matches!(c.usage, Use::Busy(_))).count() as u32);
         if texts.is_empty() {
             return self.send_statement(now, sid, conn);
         }
@@ -1397,7 +1473,12 @@
         let Some(c) = self.conns.get_mut(&conn) else { return };
         match expect {
             Expect::Greeting => match &answer.code {
-                None => self.free(now, conn),
+                None => {
+                    if let Some(bee) = self.bees.get_mut(&c.instance) {
+                        bee.opening += (now.duration_since(sent).as_secs_f64() * 1000.0 - bee.opening) * 0.1;
+                    }
+                    self.free(now, conn)
+                }
                 Some(code) => {
                     let id = c.instance.clone();
                     let full = code == "FULL";
@@ -1872,21 +1953,34 @@
     // ---- time -------------------------------------------------------------------------------
 
     pub fn next_due(&self) -> Instant {
-        let mut due = self.moves_due.map_or(self.ask_due, |at| at.min(self.ask_due));
-        if let Some(Reverse((at, _))) = self.timers.peek() {
-            due = due.min(*at);
-        }
-        for s in self.services.values() {
-            if let Some((_, until)) = s.lease {
-                due = due.min(until);
-            }
-            if let (Some((e, until, _)), Some((l, _))) = (s.recalled, s.lease)
-                && e == l
-            {
-                due = due.min(until);
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        [self.moves_due, self.lease_due, timer].into_iter().flatten().fold(self.ask_due, Instant::min)
+    }
+
+    /// Whether a timer's occasion has passed: waking for it would be for nothing.
+    fn stale(&self, timer: &Timer) -> bool {
+        match timer {
+            Timer::Op(sid, number)
+            | Timer::Hold(sid, number)
+            | Timer::Hedge(sid, number)
+            | Timer::Open(sid, number)
+            | Timer::Retry(sid, number) => self.op_is(*sid, *number).is_none(),
+            Timer::Rest(sid, turns) => {
+                self.sessions.get(sid).is_none_or(|s| s.turns != *turns || s.rests.is_none() || s.op.is_some())
             }
+            Timer::Conn(conn, since) => self.conns.get(conn).is_none_or(|c| c.since != *since || c.expect.is_empty()),
         }
-        due
+    }
+
+    /// When the next lease or recall ends.
+    fn reckon_leases(&mut self) {
+        let ends = |s: &Service| {
+            let (epoch, until) = s.lease?;
+            Some(s.recalled.filter(|(e, ..)| *e == epoch).map_or(until, |(_, cut, _)| cut.min(until)))
+        };
+        self.lease_due = self.services.values().filter_map(ends).min();
+        let recalled = |s: &Service| s.lease.is_some_and(|(epoch, _)| s.recalled.is_some_and(|(e, ..)| e == epoch));
+        self.recalling = self.services.values().any(recalled);
     }
 
     /// `window` is the number of the usage window that the time of day falls into.
@@ -1900,8 +1994,10 @@
                 self.fire(now, timer);
             }
         }
-        self.expire_leases(now);
-        self.finish_recalls(now);
+        if self.lease_due.is_some_and(|due| now >= due) {
+            self.expire_leases(now);
+            self.reckon_leases();
+        }
         if self.moves_due.is_some_and(|due| now >= due) {
             self.move_sessions(now);
         }
@@ -1918,6 +2014,13 @@
     /// To be called after each input, before the effects are taken.
     pub fn settle(&mut self, now: Instant) {
         self.serve_waiting(now);
+        if self.recalling {
+            self.finish_recalls(now);
+            self.reckon_leases();
+        }
+        while self.timers.peek().is_some_and(|Reverse((_, timer))| self.stale(timer)) {
+            self.timers.pop();
+        }
     }
 
     fn op_is(&self, sid: SessionId, number: u64) -> Option<&Op> {
@@ -1929,7 +2032,8 @@
             Timer::Open(sid, number) => {
                 let Some(op) = self.op_is(sid, number).filter(|o| o.stage == Stage::Waiting) else { return };
                 let tenant = op.tenant.clone();
-                let at = self.bees.iter().find(|(_, b)| b.waiting.contains(&sid)).map(|(id, _)| id.clone());
+                let waits = |(_, b): &(&String, &Bee)| b.waiting.contains(&sid);
+                let at = self.of_service(&op.route.service).find(waits).map(|(id, _)| id.clone());
                 if let Some(id) = at.filter(|id| self.may_open(now, sid, id)) {
                     self.open_for(now, &id, &tenant);
                     self.timers.push(Reverse((now + OPEN_AGAIN, Timer::Open(sid, number))));
@@ -1983,8 +2087,7 @@
             }
             Timer::Conn(conn, since) => {
                 let Some(c) = self.conns.get(&conn) else { return };
-                let stale = c.since == since && !c.expect.is_empty();
-                if !stale {
+                if c.since != since || c.expect.is_empty() {
                     return;
                 }
                 let id = c.instance.clone();
@@ -2124,8 +2227,8 @@
         let start = Instant::now();
         let mut field = Field::new(start, "edge-1", "z", Bounds::default(), 1);
         let part = carry::Part { ip: Ipv4Addr::LOCALHOST, zone: "z".into() };
-        let parts = Parts::from([("edge-1".to_owned(), part)]);
-        field.learn(start, &[Fact { key: "s/".into(), version: 1, value: Value::Shares(parts) }]);
+        let value = Value::Share { name: "edge-1".into(), part: Some(part) };
+        field.learn(start, &[Fact { key: "s/edge-1".into(), version: 1, value }]);
         let later = start + MOVE_PAUSE * 2;
         field.tick(later, 1);
         assert!(field.next_due() > later);
--- a/brood/src/process/registry.rs
+++ b/brood/src/process/registry.rs
@@ -2,7 +2,7 @@
 
 use super::repair::{Fact, Instance, Value};
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// The body of a beat.
@@ -30,6 +30,8 @@
     life: u64,
     version: u64,
     heard: Instant,
+    /// When it last called here itself.
+    called: Option<Instant>,
 }
 
 /// A beat with a lower count than the last is late, unless the instance was silent this long:
@@ -42,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     bees: BTreeMap<String, Bee>,
+    /// Ids by service.
+    members: BTreeMap<String, BTreeSet<String>>,
 }
 
 impl Registry {
@@ -73,7 +77,11 @@
         });
         let version = if changed { (life << LIFE_SHIFT) + beat.call_count } else { old.map_or(0, |o| o.version) };
         let fact = changed.then(|| fact(version, instance.clone()));
-        self.bees.insert(id.to_owned(), Bee { instance, count: beat.call_count, life, version, heard: now });
+        self.file(id, &beat.service);
+        self.bees.insert(
+            id.to_owned(),
+            Bee { instance, count: beat.call_count, life, version, heard: now, called: Some(now) },
+        );
         fact
     }
 
@@ -91,12 +99,16 @@
     /// A fact from another daemon, already known to be newer than what was held.
     pub fn learn(&mut self, now: Instant, version: u64, instance: &Instance) {
         let (life, count) = (version >> LIFE_SHIFT, version & ((1 << LIFE_SHIFT) - 1));
+        if self.bees.get(&instance.id).is_none_or(|b| version > b.version) {
+            self.file(&instance.id, &instance.service);
+        }
         let bee = self.bees.entry(instance.id.clone()).or_insert_with(|| Bee {
             instance: instance.clone(),
             count,
             life,
             version,
             heard: now,
+            called: None,
         });
         if version > bee.version {
             bee.instance = instance.clone();
@@ -119,13 +131,13 @@
         }
     }
 
-    /// Beats heard within `span`, for telling other daemons.
+    /// Instances that called here within `span`, for telling other daemons, who hear the rest themselves.
     pub fn recent(&self, now: Instant, span: Duration) -> Vec<(String, u64, Duration)> {
-        self.bees
-            .iter()
-            .filter(|(_, b)| now.duration_since(b.heard) < span)
-            .map(|(id, b)| (id.clone(), b.count, now.duration_since(b.heard)))
-            .collect()
+        let told = |(id, bee): (&String, &Bee)| {
+            let age = now.duration_since(bee.called?);
+            (age < span).then(|| (id.clone(), bee.count, age))
+        };
+        self.bees.iter().filter_map(told).collect()
     }
 
     pub fn get(&self, id: &str) -> Option<&Instance> {
@@ -137,14 +149,26 @@
     }
 
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Instance> {
-        self.bees.values().map(|b| &b.instance).filter(move |i| i.service == service && !i.gone)
+        let ids = self.members.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.get(id)).filter(|i| !i.gone)
+    }
+
+    pub fn services(&self) -> impl Iterator<Item = &String> {
+        self.members.keys()
     }
 
-    pub fn services(&self) -> Vec<String> {
-        let mut services: Vec<String> = self.bees.values().map(|b| b.instance.service.clone()).collect();
-        services.sort();
-        services.dedup();
-        services
+    /// Files an instance under its service, and no longer under another.
+    fn file(&mut self, id: &str, service: &str) {
+        if let Some(old) = self.bees.get(id).map(|b| &b.instance.service).filter(|s| *s != service)
+            && let Some(ids) = self.members.get_mut(old)
+        {
+            ids.remove(id);
+        }
+        match self.members.get_mut(service) {
+            Some(ids) if ids.contains(id) => {}
+            Some(ids) => drop(ids.insert(id.to_owned())),
+            None => drop(self.members.insert(service.to_owned(), BTreeSet::from([id.to_owned()]))),
+        }
     }
 
     pub fn all(&self) -> impl Iterator<Item = &Instance> {
@@ -156,8 +180,11 @@
         let old: Vec<String> =
             self.bees.iter().filter(|(_, b)| now.duration_since(b.heard) > FORGET).map(|(id, _)| id.clone()).collect();
         for id in &old {
-            self.bees.remove(id);
+            if let Some(ids) = self.bees.remove(id).and_then(|b| self.members.get_mut(&b.instance.service)) {
+                ids.remove(id);
+            }
         }
+        self.members.retain(|_, ids| !ids.is_empty());
         old
     }
 }
--- a/brood/src/process/relay.rs
+++ b/brood/src/process/relay.rs
@@ -1,14 +1,16 @@
 //! The tree of relays that news runs down: who feeds this daemon and whom it feeds.
 
 use super::dance::{Dance, Pulse};
-use super::repair::{Copies, Digests, Fact, Value};
+use super::repair::{Copies, Digests, Fact, RANGES, Value, total};
 use super::views::{Card, Views};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-/// Children a daemon feeds at most; more are sent on.
-const FAN_OUT: usize = 4;
+/// Children a daemon feeds at most, by what its link carries: news of some 100 KB is then passed on within
+/// a second or two on the thinnest. More are sent on.
+const FAN_OUT: std::ops::RangeInclusive<usize> = 4..=16;
+const CHILDREN_PER_MBPS: f64 = 0.5;
 /// Pulses go this often; a parent silent for `PATIENCE` is left.
 pub const PULSE: Duration = Duration::from_millis(500);
 const PATIENCE: Duration = Duration::from_millis(1600);
@@ -34,6 +36,7 @@
 #[derive(Debug)]
 pub struct Relay {
     root: bool,
+    fan_out: usize,
     parent: Parent,
     depth: u8,
     /// When the leader was last known to be alive, as told from above.
@@ -42,6 +45,8 @@
     children: BTreeMap<Ipv4Addr, (Card, Instant)>,
     /// Where to try next, the best last.
     tries: Vec<Ipv4Addr>,
+    /// Who was asked in this search.
+    asked: Vec<Ipv4Addr>,
     /// Nobody had fresh news when asked last: any parent will do until then.
     content: Option<Instant>,
     seeds: Vec<Ipv4Addr>,
@@ -50,7 +55,12 @@
     /// Since when the leader's copies are known to differ from these.
     behind: Option<Instant>,
     pulse_due: Instant,
+    /// The digests last told to all children, and those last heard from the parent.
+    pulsed: Digests,
+    heard: Digests,
     shuffle_due: Instant,
+    /// Kept for those who ask at every message.
+    roots: Vec<Ipv4Addr>,
     pub views: Views,
     pub copies: Copies,
     out: Vec<(Ipv4Addr, Dance)>,
@@ -58,21 +68,27 @@
 }
 
 impl Relay {
-    pub fn new(now: Instant, views: Views, seeds: Vec<Ipv4Addr>, root: bool) -> Self {
+    pub fn new(now: Instant, views: Views, seeds: Vec<Ipv4Addr>, root: bool, link_mbps: f64) -> Self {
+        let fan_out = (link_mbps * CHILDREN_PER_MBPS) as usize;
         Relay {
             root,
+            fan_out: fan_out.clamp(*FAN_OUT.start(), *FAN_OUT.end()),
             parent: Parent::None,
             depth: 0,
             fresh: None,
             leader: None,
             children: BTreeMap::new(),
             tries: Vec::new(),
+            asked: Vec::new(),
             content: None,
-            seeds,
             signs: None,
             behind: None,
             pulse_due: now,
+            pulsed: Digests::default(),
+            heard: Digests::default(),
             shuffle_due: now + SHUFFLE / 3,
+            roots: seeds.clone(),
+            seeds,
             views,
             copies: Copies::default(),
             out: Vec::new(),
@@ -94,13 +110,17 @@
     }
 
     /// The daemons known to keep the log.
-    pub fn roots(&self) -> Vec<Ipv4Addr> {
+    pub fn roots(&self) -> &[Ipv4Addr] {
+        &self.roots
+    }
+
+    fn reckon_roots(&mut self) {
         let mut roots = self.seeds.clone();
         roots.extend(self.queens());
         roots.extend(self.views.cards().iter().filter(|c| c.control.is_some()).map(|c| c.ip));
         roots.sort_unstable();
         roots.dedup();
-        roots
+        self.roots = roots;
     }
 
     /// The voters, as the log last told.
@@ -113,12 +133,12 @@
 
     /// The leader itself answered, with the digests of its copies. Where the tree does not bring the
     /// difference soon, it is asked for there.
-    pub fn leader_answered(&mut self, now: Instant, leader: Ipv4Addr, digests: &Digests) {
+    pub fn leader_answered(&mut self, now: Instant, leader: Ipv4Addr, digests: Option<&Digests>) {
         match &mut self.signs {
             Some((_, last)) if now.duration_since(*last) < STALE => *last = now,
             signs => *signs = Some((now, now)),
         }
-        let ranges = self.copies.differing(digests);
+        let ranges = digests.map(|d| self.copies.differing(d)).unwrap_or_default();
         if ranges.is_empty() {
             self.behind = None;
         } else if now.duration_since(*self.behind.get_or_insert(now)) > BEHIND_PATIENCE {
@@ -154,15 +174,18 @@
     }
 
     fn spread(&mut self, from: Option<Ipv4Addr>, facts: Vec<Fact>) {
-        let newer: Vec<Fact> = facts.into_iter().filter(|f| self.copies.take(f)).collect();
-        if newer.is_empty() {
+        let (held, passed): (Vec<Fact>, Vec<Fact>) = facts.iter().filter_map(|f| self.copies.take(f)).unzip();
+        if passed.is_empty() {
             return;
         }
+        if held.iter().any(|f| matches!(f.value, Value::Queens(_))) {
+            self.reckon_roots();
+        }
         for child in self.children.keys().filter(|c| Some(**c) != from) {
-            self.out.push((*child, Dance::Facts(newer.clone())));
+            self.out.push((*child, Dance::Facts(passed.clone())));
         }
         if from.is_some() {
-            self.news.extend(newer);
+            self.news.extend(held);
         }
     }
 
@@ -171,10 +194,16 @@
             age: self.age(now).unwrap_or(Duration::from_secs(3600)),
             depth: self.depth,
             leader: self.leader,
-            digests: self.copies.digests(),
+            sum: self.copies.sum(),
+            digests: None,
         }
     }
 
+    /// The same with all digests: for one that has not heard them.
+    fn whole_pulse(&self, now: Instant) -> Pulse {
+        Pulse { digests: Some(self.copies.digests()), ..self.pulse(now) }
+    }
+
     pub fn tick(&mut self, now: Instant) {
         if now >= self.shuffle_due {
             self.shuffle_due = now + SHUFFLE;
@@ -188,9 +217,12 @@
             }
         }
         if now >= self.pulse_due {
+            self.reckon_roots();
             self.pulse_due = now + PULSE;
             self.children.retain(|_, (_, heard)| now.duration_since(*heard) < PATIENCE * 2);
-            let pulse = self.pulse(now);
+            let digests = self.copies.digests();
+            let pulse = if self.pulsed == digests { self.pulse(now) } else { self.whole_pulse(now) };
+            self.pulsed = digests;
             for child in self.children.keys() {
                 self.out.push((*child, Dance::Pulse(pulse.clone())));
             }
@@ -226,19 +258,21 @@
 
     fn seek(&mut self, now: Instant) {
         if self.tries.is_empty() {
+            self.asked.clear();
             if matches!(self.parent, Parent::Asked(..)) && !self.contented(now) {
                 self.content = Some(now + CONTENT);
             }
             let me = self.views.me().clone();
             let mut cards: Vec<(u8, Ipv4Addr)> = Vec::new();
             for card in self.views.cards() {
+                // What crosses zones is dear: a near one is best, then one that keeps the log.
                 let root = card.control.is_some();
                 let near = card.zone == me.zone;
-                cards.push((u8::from(!near) + 2 * u8::from(!root), card.ip));
+                cards.push((u8::from(!root) + 2 * u8::from(!near), card.ip));
             }
             for seed in self.seeds.iter().copied().chain(self.queens()) {
                 if !cards.iter().any(|(_, ip)| *ip == seed) {
-                    cards.push((1, seed));
+                    cards.push((2, seed));
                 }
             }
             cards.sort_by_key(|(rank, ip)| (std::cmp::Reverse(*rank), spot(me.ip, *ip)));
@@ -253,6 +287,7 @@
             return;
         };
         self.parent = Parent::Asked(next, now);
+        self.asked.push(next);
         self.out.push((next, Dance::Attach { card: self.views.me().clone() }));
     }
 
@@ -263,10 +298,10 @@
                 self.views.take(std::slice::from_ref(&card));
                 let cyclic = matches!(self.parent, Parent::Fed(p, _) | Parent::Asked(p, _) if p == from);
                 let fed = self.root || matches!(self.parent, Parent::Fed(..));
-                let room = self.children.len() < FAN_OUT || self.children.contains_key(&from);
+                let room = self.children.len() < self.fan_out || self.children.contains_key(&from);
                 if room && fed && !cyclic && self.depth < DEPTH_MAX {
                     self.children.insert(from, (card, now));
-                    self.out.push((from, Dance::Welcome { pulse: self.pulse(now) }));
+                    self.out.push((from, Dance::Welcome { pulse: self.whole_pulse(now) }));
                 } else {
                     let others = self.children.values().map(|(c, _)| c.clone()).collect();
                     self.out.push((from, Dance::Full { others }));
@@ -277,6 +312,7 @@
                 if asked && (pulse.age < STALE || self.contented(now) || !self.better_news(now)) {
                     self.parent = Parent::Fed(from, now);
                     self.tries.clear();
+                    self.asked.clear();
                     self.hear(now, from, pulse);
                 } else if !matches!(self.parent, Parent::Fed(p, _) if p == from) {
                     self.out.push((from, Dance::Detach));
@@ -288,9 +324,17 @@
             Dance::Full { others } => {
                 self.views.take(&others);
                 if matches!(self.parent, Parent::Asked(p, _) if p == from) {
+                    // Its children in the own zone are tried next, the others only when nobody else is left.
+                    let me = self.views.me();
+                    let (near, far): (Vec<&Card>, Vec<&Card>) = others
+                        .iter()
+                        .filter(|c| c.ip != me.ip && !self.asked.contains(&c.ip) && !self.children.contains_key(&c.ip))
+                        .partition(|c| c.zone == me.zone);
                     if self.tries.is_empty() {
-                        self.tries = others.iter().map(|c| c.ip).filter(|ip| *ip != self.views.me().ip).collect();
+                        self.tries.extend(far.iter().map(|c| c.ip));
                     }
+                    self.tries.retain(|ip| !near.iter().any(|c| c.ip == *ip));
+                    self.tries.extend(near.iter().map(|c| c.ip));
                     self.seek(now);
                 }
             }
@@ -338,8 +382,16 @@
         } else if pulse.leader.is_some() && self.leader.is_none() {
             self.leader = pulse.leader;
         }
-        // The answer also tells the parent that this child lives.
-        let ranges = self.copies.differing(&pulse.digests);
+        if let Some(digests) = pulse.digests {
+            self.heard = digests;
+        }
+        // The answer also tells the parent that this child lives. A sum that fits neither what is held nor
+        // what was heard, as after a lost link, makes every range suspect.
+        let ranges = match pulse.sum {
+            told if told == self.copies.sum() => Vec::new(),
+            told if told == total(&self.heard) => self.copies.differing(&self.heard),
+            _ => (0..RANGES as u8).collect(),
+        };
         let versions = self.copies.versions(&ranges);
         self.out.push((from, Dance::Compare { ranges, versions }));
         if (pulse.age > STALE && !self.contented(now) && self.better_news(now)) || self.depth > DEPTH_MAX {
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -151,7 +151,8 @@
         let timing = Timing { t, confirm: CONFIRM, tolerance: settings.tolerance.machines };
         let proposer = rng.u64(1..);
         let raft = Raft::new(now, settings.ip, timing, stored, rng.fork());
-        let relay = Relay::new(now, Views::new(card.clone(), rng.fork()), seeds.clone(), true);
+        let relay =
+            Relay::new(now, Views::new(card.clone(), rng.fork()), seeds.clone(), true, settings.limits.link_mbps);
         let beat = Duration::from_millis(settings.beat_ms);
         let bounds: Bounds = settings.timing_bounds.clone();
         let duties = Duties::new(now, &settings.node_name, bounds, beat, settings.platform.clone());
@@ -341,7 +342,9 @@
                 }),
                 Some(("d", id)) => Some(Value::Drain { id: id.to_owned() }),
                 Some(("q", _)) => Some(Value::Queens(self.ledger.voters.iter().map(|v| v.ip).collect())),
-                Some(("s", _)) => Some(Value::Shares(self.ledger.parts.clone())),
+                Some(("s", name)) => {
+                    Some(Value::Share { name: name.to_owned(), part: self.ledger.parts.get(name).cloned() })
+                }
                 _ => None,
             };
             if let Some(value) = value {
@@ -481,7 +484,7 @@
                     }
                     return;
                 }
-                let nonce = ask.nonce;
+                let (nonce, sum) = (ask.nonce, ask.sum);
                 let scene = Scene {
                     now,
                     term: self.raft.term(),
@@ -491,7 +494,7 @@
                     confirm: CONFIRM,
                 };
                 let (leases, reported) = self.duties.asked(&scene, from, ask);
-                let digests = self.relay.copies.digests();
+                let digests = (sum != self.relay.copies.sum()).then(|| self.relay.copies.digests());
                 self.send(from, Dance::Grant(Grant { nonce, leases, span: duties::LEASE, reported, digests }));
             }
             Dance::Returned { service, epoch } => {
--- a/brood/src/process/settings.rs
+++ b/brood/src/process/settings.rs
@@ -85,11 +85,13 @@
     pub open_files: u64,
     #[garde(skip)]
     pub disk_mb: u64,
+    #[garde(range(min = 0.0))]
+    pub link_mbps: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { memory_mb: 256, open_files: 4096, disk_mb: 128 }
+        Limits { memory_mb: 256, open_files: 4096, disk_mb: 128, link_mbps: 100.0 }
     }
 }
 
--- a/brood/src/process/views.rs
+++ b/brood/src/process/views.rs
@@ -52,8 +52,12 @@
             }
         }
         while self.cards.len() > KEPT {
-            let oldest = self.cards.iter().enumerate().max_by_key(|(_, c)| c.age).map_or(0, |(at, _)| at);
-            self.cards.swap_remove(oldest);
+            // Half of those known are of the own zone, as far as there are so many.
+            let near = self.cards.iter().filter(|c| c.zone == self.me.zone).count();
+            let many = |c: &Card| (c.zone == self.me.zone) == (near > KEPT / 2);
+            let oldest = self.cards.iter().enumerate().filter(|(_, c)| many(c)).max_by_key(|(_, c)| c.age);
+            let at = oldest.map_or(0, |(at, _)| at);
+            self.cards.swap_remove(at);
         }
     }
 
--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -264,8 +264,11 @@
                 }
             }
             Command::Shares { parts } => {
-                self.parts = parts.clone();
-                self.note("s/".to_owned());
+                let old = std::mem::replace(&mut self.parts, parts.clone());
+                let names: BTreeSet<&String> = old.keys().chain(parts.keys()).collect();
+                for name in names.into_iter().filter(|n| old.get(*n) != parts.get(*n)) {
+                    self.note(format!("s/{name}"));
+                }
             }
             Command::Usage { window, counts, holder } => {
                 if self.reports.contains_key(window) {
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -88,7 +88,7 @@
     let cell = Rc::new(Cell {
         hive,
         field: shared(field),
-        relay: shared(Relay::new(now, Views::new(card, rng.fork()), seeds, false)),
+        relay: shared(Relay::new(now, Views::new(card, rng.fork()), seeds, false, settings.limits.link_mbps)),
         links: Links::new(hive, settings.ip, settings.hive_port()),
         clients: shared(HashMap::new()),
         far: shared(HashMap::new()),
@@ -172,7 +172,7 @@
         self.pass_news(now);
         match rest {
             Some(Dance::Grant(grant)) => {
-                self.relay.borrow_mut().leader_answered(now, from, &grant.digests);
+                self.relay.borrow_mut().leader_answered(now, from, grant.digests.as_ref());
                 self.field.borrow_mut().granted(now, from, grant);
             }
             Some(Dance::Led { leader }) => self.field.borrow_mut().led(now, leader),
@@ -186,7 +186,7 @@
     fn pass_news(&self, now: Instant) {
         let mut relay = self.relay.borrow_mut();
         let mut field = self.field.borrow_mut();
-        field.heard_news(now, relay.age(now), relay.leader(), relay.roots());
+        field.heard_news(now, &relay);
         let news = relay.news();
         if !news.is_empty() {
             field.learn(now, &news);
