--- a/apiary/src/instance.rs
+++ b/apiary/src/instance.rs
@@ -29,6 +29,15 @@
     pub number: u64,
 }
 
+impl Log {
+    /// Another leads from here on; what it had not received is cut back.
+    pub fn lead(&mut self, now: Duration, kept: (u64, u64)) {
+        self.term += 1;
+        self.entries.retain(|(_, t, n)| (*t, *n) <= kept);
+        self.entries.push_back((now, self.term, kept.1));
+    }
+}
+
 #[derive(Debug)]
 pub struct Instance {
     pub id: String,
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -741,15 +741,12 @@
         }
         self.instances[i].follow(self.now, &self.log);
         let kept = self.instances[i].received;
-        self.log.term += 1;
+        self.log.lead(self.now, kept);
         let term = self.log.term;
-        // What the new primary had not received is cut back.
-        self.log.entries.retain(|(_, t, n)| (*t, *n) <= kept);
         for commit in self.judge.commits.iter_mut().filter(|c| (c.term, c.number) > kept) {
             commit.cut_back = true;
         }
         self.judge.acks.retain(|(_, _, t, n)| (*t, *n) <= kept);
-        self.log.entries.push_back((self.now, term, kept.1));
         for other in &mut self.instances {
             if !other.primary {
                 other.received = other.received.min(kept);
