A promote of the stand-ins is one function, for the runner and the drone

The drone had the runner's steps again beside it (cut back, lead the next term), and a beat was handed the service that the instance holds already.

--- a/apiary/src/bin/drone.rs
+++ b/apiary/src/bin/drone.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a database group and the platform, for trying the daemons on one machine: three
 //! instances that speak the wire, tell of themselves, and take over when the platform is called.
 
-use apiary::instance::{Instance, Log};
+use apiary::instance::{self, Instance, Log};
 use apiary::judge::Judge;
 use comb::http::{self, Answer};
 use comb::pipe::Pipe;
@@ -19,7 +19,6 @@
 const INSTANCES: u16 = 3;
 
 struct Group {
-    service: String,
     instances: Vec<Instance>,
     log: Log,
     began: Instant,
@@ -34,18 +33,10 @@
     }
 
     fn promote(&mut self, id: &str) {
-        let now = self.began.elapsed();
-        let Some(at) = self.instances.iter().position(|i| i.id == id && !i.primary) else { return };
-        self.instances[at].follow(now, &self.log);
-        let kept = self.instances[at].received;
-        self.log.lead(now, kept);
-        let term = self.log.term;
-        for other in self.instances.iter_mut().filter(|i| !i.primary) {
-            other.received = other.received.min(kept);
+        let Some(at) = self.instances.iter().position(|i| i.id == id) else { return };
+        if instance::promote(&mut self.instances, at, self.began.elapsed(), &mut self.log).is_some() {
+            println!("{id} leads term {}", self.log.term);
         }
-        let new = &mut self.instances[at];
-        (new.primary, new.term, new.received) = (true, term, (term, kept.1));
-        println!("{id} leads term {term}");
     }
 }
 
@@ -62,7 +53,6 @@
     let instance = |n| Instance::new(format!("i-{}", port + n), &service, "local".into(), n == 0);
     let group = shared(Group {
         instances: (0..INSTANCES).map(instance).collect(),
-        service: service.clone(),
         log: Log { term: 1, ..Log::default() },
         began: Instant::now(),
     });
@@ -88,9 +78,8 @@
         for n in 0..usize::from(INSTANCES) {
             let (path, body) = {
                 let mut group = group.borrow_mut();
-                let service = group.service.clone();
                 let instance = &mut group.instances[n];
-                let mut beat: serde_json::Value = serde_json::from_str(&instance.beat(&service)).unwrap_or_default();
+                let mut beat: serde_json::Value = serde_json::from_str(&instance.beat()).unwrap_or_default();
                 beat["address"] = format!("{ip}:{}", usize::from(port) + n).into();
                 (format!("/api/instances/{}", instance.id), beat.to_string())
             };
--- a/apiary/src/instance.rs
+++ b/apiary/src/instance.rs
@@ -29,15 +29,6 @@
     pub number: u64,
 }
 
-impl Log {
-    /// Another leads from here on; what it had not received is cut back.
-    pub fn lead(&mut self, now: Duration, kept: (u64, u64)) {
-        self.term += 1;
-        self.entries.retain(|(_, t, n)| (*t, *n) <= kept);
-        self.entries.push_back((now, self.term, kept.1));
-    }
-}
-
 #[derive(Debug)]
 pub struct Instance {
     pub id: String,
@@ -61,6 +52,25 @@
     pub leave_acked: Option<std::time::Duration>,
 }
 
+/// The platform's call takes effect: this one leads the next term with what it had received, and what
+/// others had beyond that is cut back. Gives that position, unless it is down or leads already.
+pub fn promote(instances: &mut [Instance], at: usize, now: Duration, log: &mut Log) -> Option<(u64, u64)> {
+    if !instances[at].up || instances[at].primary {
+        return None;
+    }
+    instances[at].follow(now, log);
+    let kept = instances[at].received;
+    log.term += 1;
+    log.entries.retain(|(_, t, n)| (*t, *n) <= kept);
+    log.entries.push_back((now, log.term, kept.1));
+    for other in instances.iter_mut().filter(|i| !i.primary) {
+        other.received = other.received.min(kept);
+    }
+    let new = &mut instances[at];
+    (new.primary, new.term, new.received) = (true, log.term, (log.term, kept.1));
+    Some(kept)
+}
+
 impl Instance {
     pub fn new(id: String, service: &str, zone: String, primary: bool) -> Self {
         Instance {
@@ -83,9 +93,9 @@
         }
     }
 
-    pub fn beat(&mut self, service: &str) -> String {
+    pub fn beat(&mut self) -> String {
         self.count += 1;
-        serde_json::json!({"service": service, "address": self.address(), "zone": self.zone, "revision": "v1", "capacity": 5,
+        serde_json::json!({"service": self.service, "address": self.address(), "zone": self.zone, "revision": "v1", "capacity": 5,
             "status": if self.draining { "draining" } else { "ready" }, "warmup-left-ms": 0,
             "read-from": if self.primary { "primary" } else { "replica" }, "call-count": self.count})
         .to_string()
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -1,6 +1,6 @@
 //! The simulated world: machines, network, disks and time.
 
-use crate::instance::{Instance, Log};
+use crate::instance::{self, Instance, Log};
 use crate::judge::{End, Judge};
 use brood::connection::session::Position;
 use brood::process::carry::{self, Splice};
@@ -736,26 +736,12 @@
     }
 
     fn promote(&mut self, i: usize) {
-        if !self.instances[i].up || self.instances[i].primary {
-            return;
-        }
-        self.instances[i].follow(self.now, &self.log);
-        let kept = self.instances[i].received;
-        self.log.lead(self.now, kept);
-        let term = self.log.term;
+        let Some(kept) = instance::promote(&mut self.instances, i, self.now, &mut self.log) else { return };
+        // What the new primary had not received is cut back.
         for commit in self.judge.commits.iter_mut().filter(|c| (c.term, c.number) > kept) {
             commit.cut_back = true;
         }
         self.judge.acks.retain(|(_, _, t, n)| (*t, *n) <= kept);
-        for other in &mut self.instances {
-            if !other.primary {
-                other.received = other.received.min(kept);
-            }
-        }
-        let new = &mut self.instances[i];
-        new.primary = true;
-        new.term = term;
-        new.received = (term, kept.1);
         self.judge.promotions += 1;
         self.after(Duration::from_millis(1), Event::Beat(i));
     }
@@ -765,7 +751,7 @@
             return;
         }
         if self.instances[i].up && !self.instances[i].dark && !self.instances[i].quiet {
-            let body = self.instances[i].beat(SERVICE);
+            let body = self.instances[i].beat();
             let token = if self.instances[i].draining { LEAVING + i as u64 } else { 0 };
             let at: Vec<usize> = (0..self.queens).filter(|q| self.nodes[*q].up && !self.nodes[*q].frozen).collect();
             if !at.is_empty() {
@@ -1164,10 +1150,10 @@
             }
             "idlebeats" => {
                 for n in 0..self.idle.len() {
-                    let (service, id) = (self.idle[n].service.clone(), self.idle[n].id.clone());
-                    let body = self.idle[n].beat(&service).into_bytes();
+                    let body = self.idle[n].beat().into_bytes();
+                    let path = format!("/api/instances/{}", self.idle[n].id);
                     if let Some(q) = self.any_queen() {
-                        self.http(q, 0, "PUT", &format!("/api/instances/{id}"), None, body);
+                        self.http(q, 0, "PUT", &path, None, body);
                     }
                 }
                 self.plan(self.now + BEAT, "idlebeats");
