--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::instance::{self, Instance, Log};
 use crate::judge::{End, Judge};
+use brood::connection::parting::{CLOSED_AT_ONCE, Phase};
 use brood::connection::session::Position;
 use brood::process::carry::{self, Splice};
 use brood::process::dance::{self, Dance};
@@ -13,7 +14,7 @@
 use brood::process::settings::Settings;
 use brood::process::views::{Card, Views};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -59,6 +60,8 @@
     revision: u64,
     /// The newest version acknowledged when this process began.
     floor: u64,
+    /// Since when it leaves, and whether it is started again.
+    left: Option<(Duration, bool)>,
 }
 
 enum Kind {
@@ -91,6 +94,8 @@
     route: usize,
     read_since: Option<Duration>,
     ops: u64,
+    /// When the try's first statement was sent.
+    began: Duration,
 }
 
 /// How large a world is.
@@ -124,6 +129,12 @@
     /// Sessions that the forager they came to passes on: that forager, and what it knows of them.
     splices: HashMap<u64, (usize, Splice)>,
     pub carried: usize,
+    /// Sessions of which something has come that a frozen forager has not read.
+    unread: HashSet<u64>,
+    /// One way between clients and foragers.
+    lag: Duration,
+    /// When something last happened that is no planned work.
+    troubled: Option<Duration>,
     pub cap: u32,
     pub judge: Judge,
     platform_up: bool,
@@ -149,6 +160,36 @@
 const LEAVING: u64 = 3_000_000;
 const DRAIN: Duration = Duration::from_secs(7);
 
+/// Of the settings: what a process told to leave has, what a request may take to be lost unseen, and how
+/// long a trouble is felt.
+const GRACE: Duration = Duration::from_secs(6);
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+const CONTACT: Duration = Duration::from_secs(4);
+/// New clients come for a while after a forager has told that it leaves.
+const LATECOMERS: Duration = Duration::from_millis(2600);
+/// Actions that are work of the operator's or the world's own; anything else is trouble.
+const PLANNED: [&str; 19] = [
+    "mark",
+    "idlebeats",
+    "config",
+    "resend",
+    "storm",
+    "badconfig",
+    "race",
+    "quit",
+    "leave",
+    "restart",
+    "turn",
+    "severed",
+    "roll",
+    "lag",
+    "revoke",
+    "rest",
+    "add",
+    "drain",
+    "gone",
+];
+
 const ROUTES: [&str; 3] = ["db-primary", "db-bounded", "db-own"];
 const STALE: Duration = Duration::from_millis(1500);
 
@@ -175,6 +216,9 @@
             conns: HashMap::new(),
             splices: HashMap::new(),
             carried: 0,
+            unread: HashSet::new(),
+            lag: Duration::from_millis(2),
+            troubled: None,
             cap: 60,
             judge: Judge::default(),
             platform_up: true,
@@ -207,7 +251,7 @@
                     syncing: false,
                 })
             } else {
-                Kind::Forager(Forager { field: None, relay: None, revision: 0, floor: 0 })
+                Kind::Forager(Forager { field: None, relay: None, revision: 0, floor: 0, left: None })
             };
             world.nodes.push(Node { kind, ip, life: 0, up: false, gone: false, frozen: false, tick_at: None });
             world.applied.push(0);
@@ -234,6 +278,7 @@
                 route: n % ROUTES.len(),
                 read_since: None,
                 ops: 0,
+                began: Duration::ZERO,
             });
             world.after(Duration::from_secs(4) + Duration::from_millis(13 * n as u64), Event::Client(n));
         }
@@ -337,6 +382,7 @@
                 f.relay = Some(Box::new(Relay::new(now, Views::new(card, rng), seeds, false, LINK_MBPS)));
                 f.revision = 0;
                 f.floor = self.acked_revision;
+                f.left = None;
             }
         }
         self.drain(n);
@@ -369,10 +415,21 @@
         let ended: Vec<(u64, usize)> =
             self.sessions.iter().filter(|(sid, (f, _))| *f == n || through(sid)).map(|(s, (_, c))| (*s, *c)).collect();
         for (sid, client) in ended {
-            if self.splices.remove(&sid).is_some() {
-                self.after(Duration::from_millis(1), Event::FromClient(sid, None));
+            // The forager that a carried session came to has the last word.
+            if let Some((door, splice)) = self.splices.get_mut(&sid)
+                && *door != n
+            {
+                let last = splice.sever();
+                if !last.is_empty() {
+                    self.after(self.lag, Event::ToClient(client, sid, Some(last)));
+                }
+            }
+            let rests = |(_, s): &(usize, Splice)| s.may_close(self.base + self.now, Phase::Serves, false);
+            if self.splices.get(&sid).is_none_or(|s| s.0 == n || rests(s)) {
+                self.hang_up(sid);
+            } else {
+                self.plan(self.now + Duration::from_millis(200), &format!("severed {sid}"));
             }
-            self.after(Duration::from_millis(3), Event::ToClient(client, sid, None));
         }
         let conns: Vec<((usize, u32, u64), usize)> =
             self.conns.iter().filter(|((f, ..), _)| *f == n).map(|(k, i)| (*k, *i)).collect();
@@ -442,6 +499,14 @@
             Event::FromClient(sid, _) => self.sessions.get(sid).is_some_and(|(n, _)| self.nodes[*n].frozen),
             _ => false,
         };
+        if let Event::FromClient(sid, text) = &event {
+            let waits = frozen && text.is_some();
+            if waits {
+                self.unread.insert(*sid)
+            } else {
+                self.unread.remove(sid)
+            };
+        }
         if frozen {
             return self.after(Duration::from_millis(20), event);
         }
@@ -777,23 +842,33 @@
         match effect {
             field::Effect::ToClient(sid, mut text) => {
                 if let Some((door, splice)) = self.splices.get_mut(&sid) {
-                    let (out, seen) = splice.carrier_said(text.as_bytes());
-                    text = String::from_utf8_lossy(&out).into_owned();
+                    let heard = splice.carrier_said(text.as_bytes());
+                    text = String::from_utf8_lossy(&heard.down).into_owned();
+                    let door = *door;
                     if let (Some(seen), Kind::Forager(Forager { field: Some(field), .. })) =
-                        (seen, &mut self.nodes[*door].kind)
+                        (heard.seen, &mut self.nodes[door].kind)
                     {
                         field.require(seen);
                     }
+                    let (now, phase) = (self.base + self.now, self.phase(door));
+                    let closes = |(_, s): &(usize, Splice)| s.may_close(now, phase, true);
+                    let answered = !text.is_empty() && self.splices.get(&sid).is_some_and(closes);
+                    if let Some((_, c)) = self.sessions.get(&sid).copied()
+                        && !text.is_empty()
+                    {
+                        self.after(self.lag, Event::ToClient(c, sid, Some(text)));
+                    }
+                    if heard.part || answered {
+                        self.part(sid);
+                    }
+                    return;
                 }
                 if let Some((_, c)) = self.sessions.get(&sid).copied() {
-                    self.after(Duration::from_millis(2), Event::ToClient(c, sid, Some(text)));
-                }
-            }
-            field::Effect::CloseClient(sid) => {
-                if let Some((_, c)) = self.sessions.get(&sid).copied() {
-                    self.after(Duration::from_millis(2), Event::ToClient(c, sid, None));
+                    self.after(self.lag, Event::ToClient(c, sid, Some(text)));
                 }
             }
+            field::Effect::CloseClient(sid) => self.hang_up(sid),
+            field::Effect::Part(sid) => self.part(sid),
             field::Effect::Open(conn, address) => {
                 let i = self.instances.iter().position(|i| i.address() == address.to_string());
                 match i {
@@ -818,6 +893,77 @@
         }
     }
 
+    /// A session's client learns of the end; whoever serves it too.
+    fn hang_up(&mut self, sid: u64) {
+        if let Some((_, c)) = self.sessions.get(&sid).copied() {
+            self.after(self.lag, Event::ToClient(c, sid, None));
+            self.after(Duration::ZERO, Event::FromClient(sid, None));
+        }
+        self.splices.remove(&sid);
+    }
+
+    /// Closes a session unless something has come that was not read yet.
+    fn part(&mut self, sid: u64) {
+        if !self.unread.contains(&sid) {
+            return self.hang_up(sid);
+        }
+        let now = self.at();
+        let Some((n, _)) = self.sessions.get(&sid).copied() else { return };
+        if let Some((_, splice)) = self.splices.get_mut(&sid) {
+            splice.gait.stirs(now);
+        } else if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
+            field.stirs(now, sid);
+        }
+    }
+
+    fn phase(&self, n: usize) -> Phase {
+        match &self.nodes[n].kind {
+            Kind::Forager(Forager { left: Some((since, _)), .. }) => Phase::after(self.now - *since, GRACE),
+            _ => Phase::Serves,
+        }
+    }
+
+    /// One look of a leaving forager at the sessions that came to it.
+    fn leaving_turn(&mut self, n: usize) {
+        let (now, phase) = (self.at(), self.phase(n));
+        let Kind::Forager(Forager { field: Some(field), left: Some((since, again)), .. }) = &mut self.nodes[n].kind
+        else {
+            return;
+        };
+        let (since, again) = (*since, *again);
+        let through: Vec<u64> = self.splices.iter().filter(|(_, (door, _))| *door == n).map(|(s, _)| *s).collect();
+        let idle = through.is_empty() && self.sessions.values().all(|(f, _)| *f != n);
+        if phase == Phase::Over || (idle && self.now - since > LATECOMERS) {
+            self.stop(n, false);
+            if again {
+                self.plan(self.now + Duration::from_millis(300), &format!("add forager{}", n - self.queens));
+            }
+            return;
+        }
+        match phase {
+            Phase::Ends => field.finish(now),
+            _ => field.close_resting(now, phase),
+        }
+        let mut closed = 0;
+        for sid in through {
+            let Some((_, splice)) = self.splices.get_mut(&sid) else { continue };
+            let cuts = phase == Phase::Ends || (phase == Phase::Cuts && splice.is_open());
+            let last = if cuts && !splice.is_severed() { splice.sever() } else { String::new() };
+            let may = splice.may_close(now, phase, false) && (closed < CLOSED_AT_ONCE || phase == Phase::Ends);
+            if let Some((_, c)) = self.sessions.get(&sid).copied()
+                && !last.is_empty()
+            {
+                self.after(self.lag, Event::ToClient(c, sid, Some(last)));
+            }
+            if may {
+                closed += 1;
+                self.part(sid);
+            }
+        }
+        self.drain(n);
+        self.plan(self.now + Duration::from_millis(50), &format!("turn {n}"));
+    }
+
     fn reach_instance(&mut self, n: usize, life: u32, conn: u64, i: usize, text: &str) {
         if self.conns.get(&(n, life, conn)) != Some(&i) || self.instances[i].dark {
             return;
@@ -911,6 +1057,7 @@
         let (kind, other) = (self.rng.u32(0..5), self.rng.u32(0..3));
         let ops = self.clients[c].ops;
         let client = &mut self.clients[c];
+        client.began = self.now;
         client.tries += 1;
         client.write_ids.clear();
         client.commit_sent = false;
@@ -918,7 +1065,8 @@
         let bounded = client.route == 1;
         let mut texts: Vec<String> = Vec::new();
         if ops % 3 == 1 {
-            texts.push(format!("SET mode{} {ops}", other));
+            texts.extend((0..=other).map(|n| format!("SET mode{n} {ops}")));
+            texts.push("PREPARE q READ other".into());
             texts.push("PREPARE p WRITE shape".into());
         }
         match kind {
@@ -966,13 +1114,26 @@
     fn client_sends(&mut self, sid: u64, text: Option<String>) {
         let now = self.at();
         let text = match (text, self.splices.get_mut(&sid)) {
+            (Some(text), Some((_, splice))) if splice.is_severed() => {
+                let last = splice.refuse(now, text.as_bytes());
+                let ends = splice.may_close(now, Phase::Serves, true);
+                if let Some((_, c)) = self.sessions.get(&sid).copied()
+                    && !last.is_empty()
+                {
+                    self.after(self.lag * 2, Event::ToClient(c, sid, Some(last)));
+                    if ends {
+                        self.after(self.lag * 2, Event::ToClient(c, sid, None));
+                    }
+                }
+                return;
+            }
             (Some(text), Some((door, splice))) => {
                 let Kind::Forager(Forager { field: Some(field), .. }) = &self.nodes[*door].kind else { return };
                 Some(String::from_utf8_lossy(&splice.client_said(now, text.as_bytes(), field.newest())).into_owned())
             }
             (text, _) => text,
         };
-        self.after(Duration::from_millis(2), Event::FromClient(sid, text));
+        self.after(self.lag, Event::FromClient(sid, text));
     }
 
     fn client_hears(&mut self, c: usize, sid: u64, text: Option<String>) {
@@ -1053,6 +1214,11 @@
         self.sessions.remove(&sid);
         self.clients[c].session = None;
         if asked.is_some_and(|(id, _)| !id.is_empty()) {
+            let calm = self.troubled.is_none_or(|at| self.now - at > CONTACT);
+            let (began, slack) = (self.clients[c].began, LOSS_SLACK + self.lag);
+            if calm && self.now - began > slack {
+                self.judge.breaks(self.now, format!("LOST: c{c} asked at {:.3} s", began.as_secs_f64()));
+            }
             let end = if self.clients[c].commit_sent { End::Unclear } else { End::Promised };
             self.note_end(c, end);
         }
@@ -1142,6 +1308,9 @@
     fn act(&mut self, action: &str) {
         let words: Vec<&str> = action.split_whitespace().collect();
         let who = words.get(1).copied().unwrap_or_default();
+        if !PLANNED.contains(&words[0]) {
+            self.troubled = Some(self.now);
+        }
         match words.first().copied().unwrap_or_default() {
             // From here on what daemons say to each other is counted.
             "mark" => {
@@ -1249,18 +1418,40 @@
             "heal" => self.cuts.clear(),
             "freeze" => self.target(who).into_iter().for_each(|n| self.nodes[n].frozen = true),
             "thaw" => self.nodes.iter_mut().for_each(|n| n.frozen = false),
-            "leave" | "end" => {
-                let (now, ends) = (self.at(), words[0] == "end");
+            // SIGTERM; a "roll" is one after the other, each started again once it has ended.
+            "leave" | "restart" => {
+                let (now, at, again) = (self.at(), self.now, words[0] == "restart");
                 for n in self.target(who) {
-                    if let Kind::Forager(Forager { field: Some(field), .. }) = &mut self.nodes[n].kind {
-                        if ends { field.finish(now) } else { field.leave(now) }
+                    let Kind::Forager(f) = &mut self.nodes[n].kind else { continue };
+                    let Some(field) = &mut f.field else { continue };
+                    if f.left.is_none() {
+                        f.left = Some((at, again));
+                        field.leave(now);
+                        self.drain(n);
+                        self.leaving_turn(n);
                     }
-                    self.drain(n);
-                    if ends {
-                        self.stop(n, false);
+                }
+            }
+            "turn" => self.leaving_turn(who.parse().unwrap_or(0)),
+            "roll" => {
+                let gap =
+                    words.get(2).and_then(|g| g.parse().ok()).map_or(Duration::from_secs(1), Duration::from_secs_f64);
+                for (at, n) in self.target(who).into_iter().enumerate() {
+                    self.plan(self.now + gap * at as u32, &format!("restart forager{}", n - self.queens));
+                }
+            }
+            "severed" => {
+                let sid: u64 = who.parse().unwrap_or(0);
+                let now = self.at();
+                if let Some((_, splice)) = self.splices.get(&sid) {
+                    if splice.may_close(now, Phase::Serves, false) {
+                        self.part(sid);
+                    } else {
+                        self.plan(self.now + Duration::from_millis(200), action);
                     }
                 }
             }
+            "lag" => self.lag = Duration::from_millis(who.parse().unwrap_or(2)),
             "crash" | "dark" => {
                 let i = if who == "primary" {
                     self.primary()
--- a/brood/src/connection/mod.rs
+++ b/brood/src/connection/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod instance;
 pub mod lines;
+pub mod parting;
 pub mod session;
--- a/brood/src/connection/session.rs
+++ b/brood/src/connection/session.rs
@@ -1,6 +1,7 @@
 //! A client's session: its values, its prepared names, its transaction.
 
 use super::lines::Lines;
+use super::parting::{Gait, Phase, Standing};
 use crate::request::statement::Shape;
 use crate::version::config::Route;
 use std::collections::{BTreeMap, HashMap};
@@ -42,8 +43,10 @@
         began: Instant,
         route: Route,
     },
-    /// Failed; only its end is taken.
-    Failed,
+    /// Failed; only its end is taken, once its client has been told.
+    Failed {
+        told: bool,
+    },
 }
 
 impl Tx {
@@ -51,7 +54,7 @@
         match self {
             Tx::None => 'I',
             Tx::Lazy { .. } | Tx::Bound { .. } => 'T',
-            Tx::Failed => 'E',
+            Tx::Failed { .. } => 'E',
         }
     }
 }
@@ -112,9 +115,9 @@
     pub own: Option<(String, Position, Instant)>,
     /// Since when the transaction rests.
     pub rests: Option<Instant>,
-    pub turns: u64,
-    /// When its last line came.
-    pub heard: Option<Instant>,
+    pub gait: Gait,
+    /// The forager that passes it on was asked to close it, at this stage of leaving.
+    pub parting: Option<Phase>,
     /// Statements of the current transaction that were sent to an instance.
     pub tx_sent: u32,
     /// Passed on by another forager, which was last told this version.
@@ -136,17 +139,20 @@
             op: None,
             own: None,
             rests: None,
-            turns: 0,
-            heard: None,
+            gait: Gait::default(),
+            parting: None,
             tx_sent: 0,
             carried: None,
             needs: 0,
         }
     }
 
-    /// Nothing asked and nothing open: it may be closed without harm.
-    pub fn at_rest(&self) -> bool {
-        self.op.is_none() && matches!(self.tx, Tx::None) && self.lines.waiting() == 0
+    pub fn standing(&self) -> Standing {
+        match self.tx {
+            _ if self.op.is_some() || self.lines.waiting() > 0 => Standing::Asked,
+            Tx::None => Standing::Rest,
+            _ => Standing::Open,
+        }
     }
 }
 
--- a/brood/src/process/carry.rs
+++ b/brood/src/process/carry.rs
@@ -5,10 +5,12 @@
 //! weighed.
 
 use super::repair::digest;
+use crate::connection::parting::{Gait, Phase, Standing};
+use crate::request::verdict::Verdict;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::Ipv4Addr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// A forager that counts for the shares.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -146,6 +148,8 @@
 
 /// The word by which foragers tell each other, on a carried session, which version they go by.
 pub const REVISION: &str = "REV";
+/// By it a carrier asks the forager that its session came by to close it.
+pub const PART_LINE: &str = "PART\r\n";
 /// Longest line of ours, with its end.
 const OURS_MAX: usize = 32;
 
@@ -155,7 +159,7 @@
 
 /// A session that another forager serves: bytes go through, and just enough of the lines is looked at
 /// to know whether it is at rest and which version it was served by.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Splice {
     /// The beginning of the client's line that is not whole yet, and whether any of it went on.
     up: Vec<u8>,
@@ -167,8 +171,13 @@
     state: u8,
     /// The last line was an error: either its `READY` follows, or it was the last word.
     error: bool,
-    pub turns: u64,
-    pub heard: Option<Instant>,
+    /// The last statement was answered without an instance.
+    own: bool,
+    pub gait: Gait,
+    /// The carrier wants it closed.
+    parting: bool,
+    /// There is no carrier any more, and the client was told.
+    severed: bool,
     /// The version last told to the carrier.
     told: u64,
 }
@@ -183,8 +192,10 @@
             outstanding: 0,
             state: b'I',
             error: false,
-            turns: 0,
-            heard: None,
+            own: false,
+            gait: Gait::default(),
+            parting: false,
+            severed: false,
             told: revision,
         }
     }
@@ -193,7 +204,7 @@
     /// this daemon goes by or has seen at work.
     pub fn client_said(&mut self, now: Instant, bytes: &[u8], revision: u64) -> Vec<u8> {
         let mut out = Vec::with_capacity(bytes.len() + OURS_MAX);
-        self.heard = Some(now);
+        self.gait.stirs(now);
         for piece in bytes.split_inclusive(|b| *b == b'\n') {
             if !self.up_partial {
                 if revision > self.told {
@@ -209,16 +220,18 @@
             if !self.up_partial {
                 let question = self.up.starts_with(b"QUERY ") || self.up.starts_with(b"CONNECT");
                 self.outstanding += u64::from(question);
-                self.turns += u64::from(self.up.starts_with(b"QUERY "));
+                if self.up.starts_with(b"QUERY ") {
+                    self.gait.asked(now);
+                }
             }
         }
         out
     }
 
-    /// What goes to the client for what came from the carrier, and the version it was served by.
-    pub fn carrier_said(&mut self, bytes: &[u8]) -> (Vec<u8>, Option<u64>) {
+    /// What goes to the client for what came from the carrier.
+    pub fn carrier_said(&mut self, bytes: &[u8]) -> Heard {
         let mut out = Vec::with_capacity(bytes.len());
-        let mut seen = None;
+        let (mut seen, mut part) = (None, false);
         for piece in bytes.split_inclusive(|b| *b == b'\n') {
             let whole = piece.ends_with(b"\n");
             if self.down_passes {
@@ -236,43 +249,100 @@
                 seen = seen.max(Some(told));
                 continue;
             }
+            if line == PART_LINE.as_bytes() {
+                self.parting = true;
+                part = self.standing() != Standing::Asked;
+                continue;
+            }
             if let Some(rest) = line.strip_prefix(b"READY ") {
                 self.outstanding = self.outstanding.saturating_sub(1);
-                self.state = rest.first().copied().unwrap_or(b'I');
+                let before = std::mem::replace(&mut self.state, rest.first().copied().unwrap_or(b'I'));
+                // In a transaction what the carrier answers by itself is its beginning or its end.
+                self.gait.answered(self.own && before == b'I');
             }
+            self.own = line.starts_with(b"DONE - ") || line.starts_with(b"DONE -\r");
             self.error = line.starts_with(b"ERROR ");
             out.extend_from_slice(&line);
             self.down_passes = !whole;
         }
-        (out, seen)
+        Heard { down: out, seen, part }
     }
 
-    /// Whether the client waits for an answer.
-    pub fn asked(&self) -> bool {
-        self.outstanding > 0
+    fn standing(&self) -> Standing {
+        match self.state {
+            _ if self.outstanding > 0 || self.up_partial => Standing::Asked,
+            b'I' => Standing::Rest,
+            _ => Standing::Open,
+        }
     }
 
-    /// Nothing asked and nothing open: it may be closed without harm.
-    pub fn at_rest(&self) -> bool {
-        self.outstanding == 0 && !self.up_partial && self.state == b'I'
+    /// Whether the client's session may be closed, if nothing unread has come; `answered`: it has just
+    /// heard from the carrier.
+    pub fn may_close(&self, now: Instant, phase: Phase, answered: bool) -> bool {
+        let phase = if self.parting || self.severed { phase.max(Phase::Leaves) } else { phase };
+        let standing = self.standing();
+        // A transaction that has failed has had its answer; what is left is its end.
+        let failed = answered && self.state == b'E' && standing == Standing::Open;
+        phase > Phase::Serves && (failed || self.gait.may_close(now, standing, phase, answered))
     }
 
-    /// At rest, and not in the middle of readying itself.
-    pub fn resting(&self, now: Instant, quiet: Duration) -> bool {
-        self.at_rest() && self.turns > 0 && self.heard.is_none_or(|at| now.duration_since(at) > quiet)
+    /// Nobody serves it any more, its client has a transaction open and is to be told when it goes on.
+    pub fn is_open(&self) -> bool {
+        self.standing() == Standing::Open
     }
 
-    /// The last word to a client whose answer will not come: it may have run. Nothing, where the
-    /// carrier had its last word already or broke off within a line.
-    pub fn lost(&self) -> &'static str {
-        match self.state {
-            _ if !self.asked() || self.error || self.down_passes => "",
-            b'I' => "ERROR UNSURE the daemon that served this session is gone\r\nREADY I -\r\n",
-            _ => "ERROR UNSURE the daemon that served this session is gone\r\nREADY E -\r\n",
+    pub fn is_severed(&self) -> bool {
+        self.severed
+    }
+
+    /// The carrier is gone, or not waited for any more: the last word to a client whose answer will not
+    /// come. It may have run. Nothing, where the carrier had its last word already or broke off within a
+    /// line, or where nothing was asked.
+    pub fn sever(&mut self) -> String {
+        self.severed = true;
+        let asked = std::mem::take(&mut self.outstanding) > 0;
+        if !asked || self.error || self.down_passes {
+            return String::new();
+        }
+        if self.state != b'I' {
+            self.state = b'E';
+        }
+        self.gait.answered(false);
+        self.last_word(&Verdict::unsure("the daemon that served this session is gone"))
+    }
+
+    fn last_word(&self, verdict: &Verdict) -> String {
+        let state = if self.state == b'I' { 'I' } else { 'E' };
+        format!("{}READY {state} -\r\n", verdict.line())
+    }
+
+    /// What a client is told that has asked after all: no carrier has had the whole question.
+    pub fn refuse(&mut self, now: Instant, bytes: &[u8]) -> String {
+        self.client_said(now, bytes, self.told);
+        let verdict = match self.state {
+            b'I' => Verdict::busy("the daemon that served this session is gone; come back at once"),
+            _ => Verdict::aborted("the daemon that served this session is gone; the transaction is rolled back"),
+        };
+        let count = std::mem::take(&mut self.outstanding);
+        if count > 0 && self.state != b'I' {
+            self.state = b'E';
         }
+        self.gait.answered(false);
+        (0..count).map(|_| self.last_word(&verdict)).collect()
     }
 }
 
+/// What a carrier's bytes come to.
+#[derive(Debug, PartialEq)]
+pub struct Heard {
+    /// For the client.
+    pub down: Vec<u8>,
+    /// The version it was served by.
+    pub seen: Option<u64>,
+    /// The session may be closed at once, if nothing unread has come.
+    pub part: bool,
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -330,19 +400,18 @@
         assert_eq!(up, b"QUERY a READ x\r\nQUE");
         assert_eq!(splice.client_said(now, b"RY b READ REV 9\r\n", 5), b"RY b READ REV 9\r\n", "not within a line");
         assert_eq!(splice.client_said(now, b"QUERY c COMMIT\r\n", 5), b"REV 5\r\nQUERY c COMMIT\r\n");
-        assert!(splice.asked());
+        assert_eq!(splice.standing(), Standing::Asked);
         let answer = b"REV 6\r\nROW REV 7\r\nDONE 1\r\nREADY I 1.2\r\nROW long";
         let mut down = Vec::new();
         let mut seen = None;
         for byte in answer {
-            let (out, told) = splice.carrier_said(&[*byte]);
-            down.extend(out);
-            seen = seen.max(told);
+            let heard = splice.carrier_said(&[*byte]);
+            down.extend(heard.down);
+            seen = seen.max(heard.seen);
         }
         assert_eq!(seen, Some(6));
-        let (out, _) = splice.carrier_said(&[b'x'; 40]);
-        down.extend(out);
-        down.extend(splice.carrier_said(b"\r\nDONE 2\r\nREADY T 1.2\r\nERROR BUSY -\r\nREADY T 1.2\r\n").0);
+        down.extend(splice.carrier_said(&[b'x'; 40]).down);
+        down.extend(splice.carrier_said(b"\r\nDONE 2\r\nREADY T 1.2\r\nERROR BUSY -\r\nREADY T 1.2\r\n").down);
         let told = [
             &b"ROW REV 7\r\nDONE 1\r\nREADY I 1.2\r\nROW long"[..],
             &[b'x'; 40],
@@ -350,13 +419,36 @@
         ]
         .concat();
         assert_eq!(down, told);
-        assert!(!splice.asked() && !splice.at_rest(), "three answers came, and a transaction is open");
-        assert_eq!(splice.lost(), "", "nothing is owed");
+        assert_eq!(splice.standing(), Standing::Open, "three answers came, and a transaction is open");
+        let mut severed = splice.clone();
+        assert_eq!(severed.sever(), "", "nothing is owed yet");
+        assert!(!severed.may_close(now, Phase::Cuts, false), "its client is to be told when it goes on");
+        assert!(severed.refuse(now, b"QUERY e COMMIT\r\n").ends_with("READY E -\r\n"), "its transaction failed");
+        assert!(severed.may_close(now, Phase::Serves, true));
         splice.client_said(now, b"QUERY d READ x\r\n", 6);
-        assert!(splice.lost().ends_with("READY E -\r\n"), "its transaction failed");
+        assert!(splice.clone().sever().starts_with("ERROR UNSURE"), "it may have run");
         splice.carrier_said(b"ROW long, longer than any of the foragers' own words");
-        assert_eq!(splice.lost(), "", "broken off within a line");
+        assert_eq!(splice.clone().sever(), "", "broken off within a line");
         splice.carrier_said(b"\r\nERROR MALFORMED the end\r\n");
-        assert_eq!(splice.lost(), "", "the carrier's last word stands");
+        assert_eq!(splice.sever(), "", "the carrier's last word stands");
+    }
+
+    #[test]
+    fn a_carrier_that_wants_to_part_leaves_the_close_to_the_forager_the_client_came_to() {
+        let start = Instant::now();
+        let mut splice = Splice::new(3);
+        splice.client_said(start, b"CONNECT db key\r\n", 3);
+        splice.carrier_said(b"READY I -\r\n");
+        splice.client_said(start, b"QUERY a SET x 1\r\n", 3);
+        assert!(!splice.carrier_said(PART_LINE.as_bytes()).part, "a question is on its way there");
+        let heard = splice.carrier_said(b"DONE -\r\nREADY I -\r\n");
+        assert_eq!(heard.down, b"DONE -\r\nREADY I -\r\n");
+        assert!(!splice.may_close(start, Phase::Serves, true), "the operation is still to come");
+        splice.client_said(start, b"QUERY b BEGIN\r\nQUERY c WRITE x y\r\nQUERY d COMMIT\r\n", 3);
+        splice.carrier_said(b"DONE -\r\nREADY T -\r\nDONE 1.2\r\nREADY T 1.2\r\n");
+        assert!(!splice.may_close(start, Phase::Serves, true));
+        splice.carrier_said(b"DONE 1.3\r\nREADY I 1.3\r\n");
+        assert!(splice.may_close(start, Phase::Serves, true), "the operation has ended");
+        assert!(splice.carrier_said(PART_LINE.as_bytes()).part, "nothing is asked");
     }
 }
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -9,12 +9,13 @@
 use super::settings::Bounds;
 use crate::connection::instance::{Answer, Conn, Expect, Use};
 use crate::connection::lines::Next;
+use crate::connection::parting::{CLOSED_AT_ONCE, Phase};
 use crate::connection::session::{Op, Position, Session, Stage, Tx, What};
 use crate::request::statement::{self, Statement, word};
 use crate::request::verdict::{Verdict, is_promise};
 use crate::version::config::{self, Configuration, Kind};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
@@ -24,7 +25,11 @@
 #[derive(Debug)]
 pub enum Effect {
     ToClient(SessionId, String),
+    /// The session has had its last word.
     CloseClient(SessionId),
+    /// To be closed unless something has come that was not read yet: then [`Field::stirs`], else
+    /// [`Field::client_gone`].
+    Part(SessionId),
     Open(ConnId, SocketAddrV4),
     ToInstance(ConnId, String),
     CloseInstance(ConnId),
@@ -94,6 +99,8 @@
 const SIGHT_KEEP: Duration = Duration::from_secs(2);
 /// Without an answer for this long, the other daemons that keep the log are asked too.
 const GRANT_PATIENCE: Duration = Duration::from_millis(700);
+/// Answers that take no longer tell that the link is free.
+const ROUND_FREE: Duration = Duration::from_millis(60);
 /// After a recall, open work on a primary that still answers gets this long.
 const RECALL_GRACE: Duration = Duration::from_millis(100);
 /// Observations of a primary's position are kept this far apart, and this long.
@@ -105,9 +112,6 @@
 const OWN_LAG: Duration = Duration::from_millis(120);
 /// News older than this makes the daemon call itself not ready.
 const NEWS_OLD: Duration = Duration::from_millis(4000);
-/// While leaving, a session silent for this long is taken to be at rest: values and names that a
-/// client has just sent are the start of an operation.
-pub const QUIET: Duration = Duration::from_millis(200);
 /// Drains that are remembered: as many as the ledger keeps.
 const KEPT_DRAINS: usize = crate::version::ledger::KEPT_DRAINS;
 /// Share of `drain-ms` in which a leaving primary is used while no other has taken over; the rest is
@@ -115,8 +119,6 @@
 const DRAIN_USE: f64 = 0.6;
 /// Pause between such turns when sessions move to other foragers.
 const MOVE_PAUSE: Duration = Duration::from_millis(200);
-/// Sessions closed in one turn while leaving, or to be served elsewhere.
-pub const CLOSED_AT_ONCE: usize = 16;
 /// How many bytes of statements a session may queue.
 const QUEUE_MAX: usize = 2 << 20;
 
@@ -188,6 +190,8 @@
     /// The daemons that keep the log; all are asked when the leader does not answer.
     queens: Vec<Ipv4Addr>,
     granted_at: Instant,
+    /// How long its last answer took.
+    round: Duration,
     /// The leader as the tree last told it.
     told_leader: Option<Ipv4Addr>,
     news_at: Option<Instant>,
@@ -233,6 +237,7 @@
             leader: None,
             queens: Vec::new(),
             granted_at: now,
+            round: Duration::ZERO,
             told_leader: None,
             news_at: None,
             copies_sum: 0,
@@ -560,6 +565,7 @@
         let Some((_, asked)) = self.asked.iter().find(|(n, _)| *n == grant.nonce).copied() else { return };
         self.leader = Some(from);
         self.granted_at = now;
+        self.round = now.duration_since(asked);
         let until = asked + grant.span;
         self.lease_due = Some(self.lease_due.map_or(until, |due| due.min(until)));
         for (service, epoch) in grant.leases {
@@ -703,7 +709,8 @@
     fn proceed(&mut self, now: Instant, sid: SessionId) {
         loop {
             let Some(session) = self.sessions.get_mut(&sid) else { return };
-            let waits = session.needs.max(self.required) > self.config.as_ref().map_or(0, |c| c.revision);
+            let waits =
+                !self.finished && session.needs.max(self.required) > self.config.as_ref().map_or(0, |c| c.revision);
             if session.op.is_some() || (waits && session.lines.waiting() > 0 && !session.lines.begins(carry::REVISION))
             {
                 return;
@@ -728,22 +735,69 @@
     /// Something has come from the client that was not read yet.
     pub fn stirs(&mut self, now: Instant, sid: SessionId) {
         if let Some(session) = self.sessions.get_mut(&sid) {
-            session.heard = Some(now);
+            session.gait.stirs(now);
         }
     }
 
-    /// While leaving: closes what is at rest and not in the middle of readying itself.
-    pub fn close_resting(&mut self, now: Instant) {
-        let rests = |s: &Session| {
-            s.open && s.at_rest() && s.turns > 0 && s.heard.is_none_or(|at| now.duration_since(at) > QUIET)
-        };
-        // A few at a time: their clients come back elsewhere, and what others ask must not wait meanwhile.
-        let resting: Vec<SessionId> =
-            self.sessions.iter().filter(|(_, s)| rests(s)).map(|(id, _)| *id).take(CLOSED_AT_ONCE).collect();
-        for sid in resting {
-            self.drop_session(now, sid, true);
+    /// Whether what is said now arrives soon: the leader's answers come by the same link as the clients'
+    /// questions. Where it does not, a question may be on its way to a session that seems to rest, and its
+    /// client would learn late that it was closed.
+    pub fn link_is_free(&self, now: Instant) -> bool {
+        self.round < ROUND_FREE && now.duration_since(self.granted_at) < GRANT_PATIENCE
+    }
+
+    /// While leaving: closes what may be closed.
+    pub fn close_resting(&mut self, now: Instant, phase: Phase) {
+        if phase >= Phase::Cuts {
+            self.cut_transactions(now);
+        }
+        if !self.link_is_free(now) {
+            return;
+        }
+        self.part_some(phase, |_, s| s.open && s.gait.may_close(now, s.standing(), phase, false));
+    }
+
+    /// Half the grace is over: transactions that rest are rolled back, and their clients told when they go on.
+    fn cut_transactions(&mut self, now: Instant) {
+        let rests = |s: &&mut Session| s.op.is_none() && matches!(s.tx, Tx::Lazy { .. } | Tx::Bound { .. });
+        let mut conns = Vec::new();
+        for session in self.sessions.values_mut().filter(rests) {
+            if let Tx::Bound { conn, .. } = std::mem::replace(&mut session.tx, Tx::Failed { told: false }) {
+                conns.push(conn);
+            }
+        }
+        conns.into_iter().for_each(|conn| self.roll_back(now, conn));
+    }
+
+    /// Parts with a few of the sessions that are not yet asked to go.
+    fn part_some(&mut self, phase: Phase, going: impl Fn(SessionId, &Session) -> bool) {
+        let all = self.sessions.iter().filter(|(sid, s)| s.parting < Some(phase) && going(**sid, s));
+        let all: Vec<SessionId> = all.map(|(sid, _)| *sid).take(CLOSED_AT_ONCE).collect();
+        all.into_iter().for_each(|sid| self.part(sid, phase));
+    }
+
+    /// The session is to be closed. One that is passed on is closed by the forager that its client came
+    /// to, which alone knows whether a question is on its way.
+    fn part(&mut self, sid: SessionId, phase: Phase) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        if session.carried.is_none() {
+            self.out.push(Effect::Part(sid));
+        } else if session.parting < Some(phase) {
+            session.parting = Some(phase);
+            self.out.push(Effect::ToClient(sid, carry::PART_LINE.into()));
+        }
+    }
+
+    /// The client has its answer; `readied` by a statement that only prepares an operation.
+    fn has_answer(&mut self, now: Instant, sid: SessionId, readied: bool) {
+        let leaving = self.leaving.is_some();
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        session.gait.answered(readied);
+        // One whose transaction failed has had its answer too; what is left is its end.
+        let ended = matches!(session.tx, Tx::Failed { told: true }) && session.op.is_none();
+        if leaving && (ended || session.gait.may_close(now, session.standing(), Phase::Leaves, true)) {
+            self.part(sid, Phase::Leaves);
         }
-        self.settle(now);
     }
 
     fn line(&mut self, now: Instant, sid: SessionId, line: &str) {
@@ -769,6 +823,7 @@
                 session.database = database.to_owned();
                 session.key = key.to_owned();
                 session.open = true;
+                session.gait.stirs(now);
                 let service = self.config.as_ref().and_then(|c| c.routes.get(database)).map(|r| r.service.clone());
                 if let Some(service) = service {
                     self.want(now, &service);
@@ -776,8 +831,7 @@
                 self.say(sid, "READY I -\r\n".into());
             }
             "QUERY" if session.open => {
-                session.turns += 1;
-                session.heard = Some(now);
+                session.gait.asked(now);
                 session.rests = None;
                 let (id, text) = word(rest);
                 match (id.is_empty(), statement::parse(text)) {
@@ -793,11 +847,12 @@
     }
 
     /// Answers a statement that goes no further.
-    fn done(&mut self, now: Instant, sid: SessionId) {
+    fn done(&mut self, now: Instant, sid: SessionId, readied: bool) {
         let Some(session) = self.sessions.get_mut(&sid) else { return };
         let state = session.tx.state();
         self.say(sid, format!("DONE -\r\nREADY {state} -\r\n"));
         self.rest(now, sid);
+        self.has_answer(now, sid, readied);
     }
 
     /// Answers with an error; in a transaction it fails the transaction where `fails` says so.
@@ -805,11 +860,12 @@
         let Some(session) = self.sessions.get_mut(&sid) else { return };
         session.op = None;
         if fails && !matches!(session.tx, Tx::None) {
-            session.tx = Tx::Failed;
+            session.tx = Tx::Failed { told: true };
         }
         let state = session.tx.state();
         self.say(sid, format!("{}READY {state} -\r\n", verdict.line()));
         self.rest(now, sid);
+        self.has_answer(now, sid, false);
     }
 
     /// Between statements of a transaction the rest begins.
@@ -818,22 +874,29 @@
         if matches!(session.tx, Tx::Bound { .. }) {
             session.rests = Some(now);
             let after = self.config.as_ref().map_or(Duration::from_secs(3), |c| c.tx_rest);
-            self.timers.push(Reverse((now + after, Timer::Rest(sid, session.turns))));
+            self.timers.push(Reverse((now + after, Timer::Rest(sid, session.gait.turns))));
         }
     }
 
     fn statement(&mut self, now: Instant, sid: SessionId, id: &str, text: &str, statement: Statement) {
+        if self.finished {
+            return self.refuse_at_end(now, sid);
+        }
         let Some(session) = self.sessions.get_mut(&sid) else { return };
-        if matches!(session.tx, Tx::Failed) {
+        if let Tx::Failed { told } = &mut session.tx {
+            let told = std::mem::replace(told, true);
             match statement {
                 Statement::Rollback => {
                     session.tx = Tx::None;
-                    self.done(now, sid);
+                    self.done(now, sid, false);
                 }
                 Statement::Commit => {
                     session.tx = Tx::None;
                     self.tell(now, sid, &Verdict::aborted("the transaction had failed and is rolled back"), false);
                 }
+                _ if !told => {
+                    self.tell(now, sid, &Verdict::aborted("the transaction had to end and is rolled back"), false)
+                }
                 _ => self.tell(now, sid, &Verdict::malformed("the transaction has failed"), false),
             }
             return;
@@ -842,18 +905,18 @@
         let (what, run) = match statement {
             Statement::Set { name, value } => {
                 session.values.insert(name, value);
-                return self.done(now, sid);
+                return self.done(now, sid, true);
             }
             Statement::Prepare { name, shape } => {
                 session.prepared.insert(name, shape);
-                return self.done(now, sid);
+                return self.done(now, sid, true);
             }
             Statement::Forget { name } => {
                 if session.prepared.remove(&name).is_none() {
                     let verdict = Verdict::Refused("UNKNOWN", format!("no prepared name {name}"));
                     return self.tell(now, sid, &verdict, false);
                 }
-                return self.done(now, sid);
+                return self.done(now, sid, true);
             }
             Statement::Begin { .. } if in_tx => {
                 return self.tell(now, sid, &Verdict::malformed("already in a transaction"), false);
@@ -864,7 +927,7 @@
                     session.tx = Tx::Lazy { read, began: now, route };
                     session.tx_sent = 0;
                 }
-                return self.done(now, sid);
+                return self.done(now, sid, true);
             }
             Statement::Commit | Statement::Rollback if !in_tx => {
                 return self.tell(now, sid, &Verdict::malformed("no transaction to end"), false);
@@ -873,7 +936,7 @@
                 if let Tx::Bound { conn, .. } = std::mem::replace(&mut session.tx, Tx::None) {
                     self.roll_back(now, conn);
                 }
-                return self.done(now, sid);
+                return self.done(now, sid, false);
             }
             Statement::Commit => (What::Commit, None),
             Statement::Read => (What::Read, None),
@@ -1090,16 +1153,24 @@
         self.moves_due = None;
         // Without a configuration there is no session yet that could have to move.
         let Some(config) = &self.config else { return };
-        let moves =
-            |s: &Session| s.open && config.routes.get(&s.database).is_some_and(|r| self.roster.elsewhere(&r.service));
-        let rests = |s: &Session| s.at_rest() && s.heard.is_none_or(|at| now.duration_since(at) > QUIET);
-        let all = || self.sessions.iter().filter(|(_, s)| moves(s));
-        let going: Vec<SessionId> = all().filter(|(_, s)| rests(s)).map(|(id, _)| *id).take(CLOSED_AT_ONCE).collect();
-        let more = all().nth(going.len()).is_some();
-        for sid in going {
-            self.drop_session(now, sid, true);
+        let elsewhere: HashSet<&String> =
+            config.routes.iter().filter(|(_, r)| self.roster.elsewhere(&r.service)).map(|(d, _)| d).collect();
+        let moving: HashSet<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.open && elsewhere.contains(&s.database))
+            .map(|(id, _)| *id)
+            .collect();
+        if moving.is_empty() {
+            return;
+        }
+        self.moves_due = Some(now + MOVE_PAUSE);
+        if !self.link_is_free(now) {
+            return;
         }
-        self.moves_due = more.then_some(now + MOVE_PAUSE);
+        self.part_some(Phase::Leaves, |sid, s| {
+            moving.contains(&sid) && s.gait.may_close(now, s.standing(), Phase::Leaves, false)
+        });
     }
 
     /// The newest version that this daemon goes by or has seen at work.
@@ -1114,7 +1185,8 @@
 
     /// A session that another forager passes on.
     pub fn accept_carried(&mut self, sid: SessionId) -> bool {
-        if self.leaving.is_some() {
+        // Without a configuration it would have to wait; another carrier need not.
+        if self.leaving.is_some() || self.config.is_none() {
             return false;
         }
         let session = Session { carried: Some(0), ..Session::new() };
@@ -1653,7 +1725,7 @@
                 release = true;
             }
             'E' if in_tx => {
-                session.tx = Tx::Failed;
+                session.tx = Tx::Failed { told: true };
                 release = true;
             }
             _ => {}
@@ -1667,10 +1739,8 @@
             }
         }
         self.rest(now, sid);
+        self.has_answer(now, sid, false);
         self.proceed(now, sid);
-        if self.leaving.is_some() && self.sessions.get(&sid).is_some_and(Session::at_rest) {
-            self.drop_session(now, sid, true);
-        }
     }
 
     /// An instance promised that it has not run.
@@ -1910,7 +1980,7 @@
         let Some(op) = &mut session.op else {
             if bound {
                 // The transaction rested here; it is rolled back by the close.
-                session.tx = Tx::Failed;
+                session.tx = Tx::Failed { told: false };
             }
             return;
         };
@@ -1966,7 +2036,7 @@
             | Timer::Open(sid, number)
             | Timer::Retry(sid, number) => self.op_is(*sid, *number).is_none(),
             Timer::Rest(sid, turns) => {
-                self.sessions.get(sid).is_none_or(|s| s.turns != *turns || s.rests.is_none() || s.op.is_some())
+                self.sessions.get(sid).is_none_or(|s| s.gait.turns != *turns || s.rests.is_none() || s.op.is_some())
             }
             Timer::Conn(conn, since) => self.conns.get(conn).is_none_or(|c| c.since != *since || c.expect.is_empty()),
         }
@@ -2077,11 +2147,11 @@
             Timer::Hedge(sid, number) => self.hedge(now, sid, number),
             Timer::Rest(sid, turns) => {
                 let Some(session) = self.sessions.get_mut(&sid) else { return };
-                if session.turns != turns || session.rests.is_none() || session.op.is_some() {
+                if session.gait.turns != turns || session.rests.is_none() || session.op.is_some() {
                     return;
                 }
                 if let Tx::Bound { conn, .. } = session.tx {
-                    session.tx = Tx::Failed;
+                    session.tx = Tx::Failed { told: false };
                     self.roll_back(now, conn);
                 }
             }
@@ -2167,20 +2237,33 @@
             return;
         }
         self.leaving = Some(now);
-        self.close_resting(now);
+        self.close_resting(now, Phase::Leaves);
         self.ask(now);
     }
 
-    /// Half the grace is over: open transactions are rolled back.
-    pub fn cut_transactions(&mut self, now: Instant) {
-        let open: Vec<SessionId> = self.sessions.iter().filter(|(_, s)| s.op.is_none()).map(|(id, _)| *id).collect();
-        for sid in open {
-            self.drop_session(now, sid, true);
-        }
-        self.settle(now);
+    /// Whether this daemon serves the session itself.
+    pub fn knows(&self, sid: SessionId) -> bool {
+        self.sessions.contains_key(&sid)
+    }
+
+    /// A statement that comes at the end is not begun.
+    fn refuse_at_end(&mut self, now: Instant, sid: SessionId) {
+        let Some(session) = self.sessions.get_mut(&sid) else { return };
+        let verdict = match std::mem::replace(&mut session.tx, Tx::None) {
+            Tx::None => Verdict::busy("this daemon ends; come back at once, elsewhere"),
+            open => {
+                session.tx = Tx::Failed { told: true };
+                if let Tx::Bound { conn, .. } = open {
+                    self.roll_back(now, conn);
+                }
+                Verdict::aborted("this daemon ends; the transaction is rolled back")
+            }
+        };
+        self.tell(now, sid, &verdict, true);
     }
 
-    /// The end: whoever still waits gets the true state of the request, at once.
+    /// The end: whoever still waits gets the true state of the request, at once. To be called until all
+    /// have gone.
     pub fn finish(&mut self, now: Instant) {
         self.finished = true;
         let all: Vec<SessionId> = self.sessions.keys().copied().collect();
@@ -2201,16 +2284,12 @@
             if let Some(verdict) = verdict {
                 self.tell_end(now, sid, &verdict);
             }
-            self.drop_session(now, sid, true);
+            self.proceed(now, sid);
+            self.part(sid, Phase::Ends);
         }
         self.settle(now);
     }
 
-    /// Whether nothing is left to do.
-    pub fn empty(&self) -> bool {
-        self.sessions.values().all(|s| s.at_rest() || !s.open)
-    }
-
     /// The last words to the leader: what ran here.
     pub fn farewell(&mut self, now: Instant) {
         self.ask(now);
--- a/comb/src/pipe.rs
+++ b/comb/src/pipe.rs
@@ -6,11 +6,12 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What may wait for a peer that does not read; beyond it the connection is cut.
 const BACKLOG_MAX: usize = 4 << 20;
-/// After our side is closed, what the other still sends is read and dropped this long.
+/// After our side is closed, what the other still sends is read and dropped this long: a close with bytes
+/// unread would reset, and destroy what was said last.
 const LINGER: Duration = Duration::from_millis(800);
 const READ: usize = 8 * 1024;
 
@@ -19,7 +20,8 @@
     stream: RefCell<Option<Rc<Async<TcpStream>>>>,
     backlog: RefCell<Vec<u8>>,
     flushing: Cell<bool>,
-    closed: Cell<bool>,
+    /// Since when our side is.
+    closed: Cell<Option<Instant>>,
 }
 
 /// The options of every connection: small messages at once, a dark peer noticed.
@@ -42,7 +44,7 @@
             stream: RefCell::new(None),
             backlog: RefCell::default(),
             flushing: Cell::new(false),
-            closed: Cell::new(false),
+            closed: Cell::new(None),
         })
     }
 
@@ -66,11 +68,11 @@
     }
 
     pub fn is_closed(&self) -> bool {
-        self.closed.get()
+        self.closed.get().is_some()
     }
 
     pub fn write(self: &Rc<Self>, bytes: &[u8]) {
-        if self.closed.get() {
+        if self.is_closed() {
             return;
         }
         let stream = self.stream.borrow().clone();
@@ -117,7 +119,7 @@
                     }
                 }
             }
-            if self.closed.get() {
+            if self.is_closed() {
                 let _ = stream.get_ref().shutdown(Shutdown::Write);
             }
         }
@@ -126,9 +128,10 @@
 
     /// Ends our side once everything is written.
     pub fn close(&self) {
-        if self.closed.replace(true) {
+        if self.is_closed() {
             return;
         }
+        self.closed.set(Some(Instant::now()));
         if self.backlog.borrow().is_empty()
             && let Some(stream) = &*self.stream.borrow()
         {
@@ -138,7 +141,7 @@
 
     /// Ends the connection at once.
     pub fn cut(&self) {
-        self.closed.set(true);
+        self.closed.set(Some(Instant::now()));
         self.backlog.borrow_mut().clear();
         if let Some(stream) = &*self.stream.borrow() {
             let _ = stream.get_ref().shutdown(Shutdown::Both);
@@ -150,17 +153,19 @@
         let Some(stream) = self.stream.borrow().clone() else { return };
         let mut buffer = vec![0; READ];
         loop {
-            let readable = if self.closed.get() {
-                crate::within(LINGER, stream.readable()).await.is_some_and(|r| r.is_ok())
-            } else {
-                stream.readable().await.is_ok()
+            let readable = match self.closed.get() {
+                Some(at) => {
+                    let rest = LINGER.saturating_sub(at.elapsed());
+                    crate::within(rest, stream.readable()).await.is_some_and(|r| r.is_ok())
+                }
+                None => stream.readable().await.is_ok(),
             };
             if !readable {
                 return;
             }
             match stream.get_ref().read(&mut buffer) {
                 Ok(0) => return,
-                Ok(n) if !self.closed.get() => take(&buffer[..n]),
+                Ok(n) if !self.is_closed() => take(&buffer[..n]),
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock || e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return,
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -1,8 +1,9 @@
 //! Joins the state machines to sockets, signals and the clock.
 
+use brood::connection::parting::{CLOSED_AT_ONCE, Phase};
 use brood::process::carry::{self, Splice};
 use brood::process::dance::Dance;
-use brood::process::field::{CLOSED_AT_ONCE, ConnId, Effect, Field, QUIET, SessionId};
+use brood::process::field::{ConnId, Effect, Field, SessionId};
 use brood::process::relay::Relay;
 use brood::process::settings::Settings;
 use brood::process::views::{Card, Views};
@@ -19,13 +20,12 @@
 
 /// An instance or client that acknowledges nothing for this long is dark.
 const DARK: Duration = Duration::from_millis(2500);
-/// Share of the grace in which open transactions may end, and in which the process ends.
-const GRACE_OPEN: f64 = 0.5;
-const GRACE_END: f64 = 0.85;
 /// What was written last is on its way before the process ends.
 const LAST_WORDS: Duration = Duration::from_millis(60);
 /// The platform sends new clients for a while after it was told not to.
 const LATECOMERS: Duration = Duration::from_millis(2600);
+/// While leaving, how often it is looked which sessions may be closed.
+const LEAVE_TURN: Duration = Duration::from_millis(50);
 
 /// A carrier that can't be reached within this is passed over, and not tried again for a while.
 const CARRIER_DIAL: Duration = Duration::from_millis(250);
@@ -44,6 +44,18 @@
     early: Option<Vec<u8>>,
 }
 
+impl Far {
+    /// The carrier is not waited for any more. Whether the client waited: then it was told.
+    fn sever(&mut self) -> bool {
+        let last = if self.splice.is_severed() { String::new() } else { self.splice.sever() };
+        self.client.write(last.as_bytes());
+        if let Some(carrier) = self.carrier.take() {
+            carrier.close();
+        }
+        !last.is_empty()
+    }
+}
+
 /// Where a client's bytes go.
 enum Way {
     Hello(Vec<u8>),
@@ -64,7 +76,8 @@
     carry_port: Option<u16>,
     /// Carriers that could not be reached, until then.
     unreached: Shared<HashMap<Ipv4Addr, Instant>>,
-    leaving: std::cell::Cell<bool>,
+    leaving: std::cell::Cell<Option<Instant>>,
+    grace: Duration,
     instances: Shared<HashMap<ConnId, Opened>>,
     alarm: Rc<Alarm>,
     window: Shared<Duration>,
@@ -94,7 +107,8 @@
         far: shared(HashMap::new()),
         carry_port: settings.carry_port(),
         unreached: shared(HashMap::new()),
-        leaving: std::cell::Cell::new(false),
+        leaving: std::cell::Cell::new(None),
+        grace: bounds.grace(),
         instances: shared(HashMap::new()),
         alarm: Alarm::new(),
         window: shared(bounds.usage_window()),
@@ -147,7 +161,7 @@
     .detach();
 
     let _ = left.recv().await;
-    cell.leave(bounds.grace()).await;
+    cell.leave().await;
     Ok(())
 }
 
@@ -223,10 +237,16 @@
                 }
             }
             Effect::CloseClient(sid) => {
-                if let Some(pipe) = self.clients.borrow_mut().remove(&sid) {
+                if let Some(pipe) = self.clients.borrow().get(&sid) {
                     pipe.close();
                 }
             }
+            Effect::Part(sid) => {
+                let now = Instant::now();
+                if self.part(now, sid) {
+                    self.field.borrow_mut().client_gone(now, sid);
+                }
+            }
             Effect::ToInstance(conn, text) => {
                 if let Some((pipe, _)) = self.instances.borrow().get(&conn) {
                     pipe.write(text.as_bytes());
@@ -245,6 +265,44 @@
         }
     }
 
+    /// Closes a client's session, unless something has come from the client that was not read yet: that
+    /// is answered first.
+    fn part(&self, now: Instant, sid: SessionId) -> bool {
+        let Some(pipe) = self.clients.borrow().get(&sid).cloned() else { return true };
+        if pipe.is_closed() {
+            return true;
+        }
+        if pipe.has_unread() {
+            self.field.borrow_mut().stirs(now, sid);
+            if let Some(far) = self.far.borrow_mut().get_mut(&sid) {
+                far.splice.gait.stirs(now);
+            }
+            return false;
+        }
+        pipe.close();
+        if let Some(carrier) = self.far.borrow_mut().remove(&sid).and_then(|f| f.carrier) {
+            carrier.close();
+        }
+        true
+    }
+
+    fn phase(&self, now: Instant) -> Phase {
+        let spent = |since: Instant| Phase::after(now.duration_since(since), self.grace);
+        self.leaving.get().map_or(Phase::Serves, spent)
+    }
+
+    /// Parts with a session that is passed on, if it may go now.
+    fn part_far(&self, now: Instant, sid: SessionId, answered: bool) {
+        let phase = self.phase(now);
+        if !answered && phase < Phase::Ends && !self.field.borrow().link_is_free(now) {
+            return;
+        }
+        let may = |f: &Far| f.splice.may_close(now, phase, answered);
+        if self.far.borrow().get(&sid).is_some_and(may) {
+            self.part(now, sid);
+        }
+    }
+
     fn open(self: &Rc<Self>, conn: ConnId, address: SocketAddrV4) {
         let pipe = Pipe::pending(self.hive);
         let (cell, inner) = (Rc::clone(self), Rc::clone(&pipe));
@@ -308,16 +366,16 @@
         }
         let revision = self.field.borrow().newest();
         let mut splice = Splice::new(revision);
-        let early = splice.client_said(now, first, revision);
-        let far = Far { splice, client: Rc::clone(pipe), carrier: None, early: Some(early) };
+        splice.client_said(now, first, revision);
+        let far = Far { splice, client: Rc::clone(pipe), carrier: None, early: Some(first.to_vec()) };
         self.far.borrow_mut().insert(sid, far);
         let cell = Rc::clone(self);
-        self.hive.spawn(async move { cell.carry(sid, homes, revision).await }).detach();
+        self.hive.spawn(async move { cell.carry(sid, homes).await }).detach();
         Way::Far
     }
 
     /// Passes a session on to the first carrier that answers; with none, it is served here.
-    async fn carry(self: Rc<Self>, sid: SessionId, homes: Vec<Ipv4Addr>, revision: u64) {
+    async fn carry(self: Rc<Self>, sid: SessionId, homes: Vec<Ipv4Addr>) {
         let Some(port) = self.carry_port else { return };
         for ip in homes {
             let dialled = comb::within(CARRIER_DIAL, Async::<TcpStream>::connect(SocketAddrV4::new(ip, port))).await;
@@ -329,23 +387,29 @@
             let carrier = Pipe::connected(self.hive, stream);
             {
                 let mut all = self.far.borrow_mut();
-                let Some(far) = all.get_mut(&sid) else { return };
-                carrier.write(carry::revision_line(revision).as_bytes());
+                let Some(far) = all.get_mut(&sid).filter(|f| !f.splice.is_severed()) else { return };
+                carrier.write(carry::revision_line(self.field.borrow().newest()).as_bytes());
                 carrier.write(far.early.as_deref().unwrap_or_default());
                 far.carrier = Some(Rc::clone(&carrier));
             }
             let cell = Rc::clone(&self);
             Rc::clone(&carrier).read(move |bytes| cell.carrier_said(sid, bytes)).await;
             carrier.close();
-            let mut all = self.far.borrow_mut();
-            let Some(far) = all.get_mut(&sid) else { return };
-            if far.early.is_none() {
-                far.client.write(far.splice.lost().as_bytes());
-                far.client.close();
-                all.remove(&sid);
+            let heard = {
+                let mut all = self.far.borrow_mut();
+                let Some(far) = all.get_mut(&sid) else { return };
+                far.carrier = None;
+                let told = far.early.is_none() && far.sever();
+                far.early.is_none().then_some(told)
+            };
+            if let Some(mut told) = heard {
+                // Its client is to hear of it in an answer, or else to be at rest.
+                while self.far.borrow().contains_key(&sid) {
+                    self.part_far(Instant::now(), sid, std::mem::take(&mut told));
+                    smol::Timer::after(LEAVE_TURN * 4).await;
+                }
                 return;
             }
-            far.carrier = None;
         }
         let Some(far) = self.far.borrow_mut().remove(&sid) else { return };
         self.field.borrow_mut().accept(sid);
@@ -356,13 +420,17 @@
         let mut all = self.far.borrow_mut();
         let Some(far) = all.get_mut(&sid) else { return };
         far.early = None;
-        let (out, seen) = far.splice.carrier_said(bytes);
-        if let Some(revision) = seen {
+        let heard = far.splice.carrier_said(bytes);
+        if let Some(revision) = heard.seen {
             self.field.borrow_mut().require(revision);
         }
-        far.client.write(&out);
-        if self.leaving.get() && far.splice.at_rest() && far.splice.turns > 0 {
-            far.client.close();
+        far.client.write(&heard.down);
+        drop(all);
+        let now = Instant::now();
+        if heard.part && self.field.borrow().link_is_free(now) {
+            self.part(now, sid);
+        } else if !heard.down.is_empty() {
+            self.part_far(now, sid, true);
         }
     }
 
@@ -370,12 +438,18 @@
         let revision = self.field.borrow().newest();
         let mut all = self.far.borrow_mut();
         let Some(far) = all.get_mut(&sid) else { return };
-        let out = far.splice.client_said(Instant::now(), bytes, revision);
+        let now = Instant::now();
+        if far.splice.is_severed() {
+            far.client.write(far.splice.refuse(now, bytes).as_bytes());
+            drop(all);
+            return self.part_far(now, sid, true);
+        }
+        let out = far.splice.client_said(now, bytes, revision);
         if let Some(carrier) = &far.carrier {
             carrier.write(&out);
         }
         if let Some(early) = &mut far.early {
-            early.extend_from_slice(&out);
+            early.extend_from_slice(bytes);
         }
     }
 
@@ -425,46 +499,57 @@
             .detach();
     }
 
-    /// SIGTERM: transactions get half the grace, what runs gets a little more, then the end.
-    async fn leave(self: &Rc<Self>, grace: Duration) {
+    /// SIGTERM: sessions at rest go first, transactions get half the grace, what runs gets a little more,
+    /// then whoever still waits hears the true state of its request.
+    async fn leave(self: &Rc<Self>) {
         let began = Instant::now();
-        self.leaving.set(true);
+        self.leaving.set(Some(began));
         self.field.borrow_mut().leave(began);
         self.perform(began);
         loop {
-            smol::Timer::after(Duration::from_millis(50)).await;
+            smol::Timer::after(LEAVE_TURN).await;
             let now = Instant::now();
-            let spent = now.duration_since(began);
-            for (sid, _) in self.clients.borrow().iter().filter(|(_, p)| p.has_unread()) {
-                self.field.borrow_mut().stirs(now, *sid);
-                if let Some(far) = self.far.borrow_mut().get_mut(sid) {
-                    far.splice.heard = Some(now);
-                }
-            }
-            let half = spent > grace.mul_f64(GRACE_OPEN);
-            let ends =
-                |f: &&Far| !f.client.is_closed() && (f.splice.resting(now, QUIET) || (half && !f.splice.asked()));
-            self.far.borrow().values().filter(ends).take(CLOSED_AT_ONCE).for_each(|f| f.client.close());
-            let empty = self.field.borrow().empty() && self.far.borrow().values().all(|f| f.splice.at_rest());
-            if (empty && spent > LATECOMERS.min(grace.mul_f64(GRACE_OPEN))) || spent > grace.mul_f64(GRACE_END) {
+            let phase = self.phase(now);
+            let latest = LATECOMERS.min(self.grace / 2);
+            if phase == Phase::Over || (self.clients.borrow().is_empty() && now.duration_since(began) > latest) {
                 break;
             }
-            if half {
-                self.field.borrow_mut().cut_transactions(now);
+            if phase == Phase::Ends {
+                self.end_sessions(now);
             } else {
-                self.field.borrow_mut().close_resting(now);
+                self.field.borrow_mut().close_resting(now, phase);
+            }
+            if phase == Phase::Cuts {
+                self.far.borrow_mut().values_mut().filter(|f| f.splice.is_open()).for_each(|f| {
+                    f.sever();
+                });
             }
+            let may = |f: &Far| f.splice.may_close(now, phase, false);
+            let going: Vec<SessionId> = self.far.borrow().iter().filter(|(_, f)| may(f)).map(|(s, _)| *s).collect();
+            let most = if phase == Phase::Ends { going.len() } else { CLOSED_AT_ONCE };
+            going.into_iter().take(most).for_each(|sid| self.part_far(now, sid, false));
             self.perform(now);
         }
         let now = Instant::now();
-        for far in self.far.borrow().values() {
-            far.client.write(far.splice.lost().as_bytes());
-            far.client.close();
-        }
-        self.field.borrow_mut().finish(now);
         self.relay.borrow_mut().leave();
         self.field.borrow_mut().farewell(now);
         self.perform(now);
         smol::Timer::after(LAST_WORDS).await;
     }
+
+    /// Nothing new is begun, and whoever waits is told so.
+    fn end_sessions(&self, now: Instant) {
+        self.far.borrow_mut().values_mut().for_each(|f| {
+            f.sever();
+        });
+        self.field.borrow_mut().finish(now);
+        // Those that have not even said what they want.
+        let mute: Vec<SessionId> = {
+            let (field, far) = (self.field.borrow(), self.far.borrow());
+            self.clients.borrow().keys().filter(|s| !field.knows(**s) && !far.contains_key(s)).copied().collect()
+        };
+        mute.into_iter().for_each(|sid| {
+            self.part(now, sid);
+        });
+    }
 }
