--- a/apiary/src/judge.rs
+++ b/apiary/src/judge.rs
@@ -39,6 +39,9 @@
     fences: BTreeMap<String, (u64, usize)>,
     holders: BTreeMap<String, Vec<(Duration, usize)>>,
     reports: BTreeMap<u64, String>,
+    /// Tries that have reached an instance, and when, by tenant.
+    tries: HashSet<String>,
+    arrivals: BTreeMap<usize, Vec<Duration>>,
     pub promotions: usize,
     pub asked: usize,
     pub served: usize,
@@ -99,6 +102,37 @@
         self.reports.insert(window, counts.to_owned());
     }
 
+    /// A statement of a try reaches an instance.
+    pub fn arrives(&mut self, now: Duration, tenant: usize, try_id: &str) {
+        if self.tries.insert(try_id.to_owned()) {
+            self.arrivals.entry(tenant).or_default().push(now);
+        }
+    }
+
+    /// QUOTA: in no span more than the limit lets through; a change counts from a span after it is known
+    /// everywhere on, until then the higher one holds.
+    pub fn count(&mut self, limits: &[(Duration, u32)], span: Duration, until: Duration) {
+        let settle = span + Duration::from_secs(3);
+        let mut found = Vec::new();
+        for (tenant, times) in &self.arrivals {
+            for (at, end) in times.iter().enumerate().filter(|(_, t)| **t <= until) {
+                let start = end.saturating_sub(span);
+                let old = limits.iter().rev().find(|(t, _)| *t + settle <= *end);
+                let newer = limits.iter().filter(|(t, _)| *t + settle > *end);
+                let Some(limit) = old.into_iter().chain(newer).map(|(_, l)| *l).max().filter(|_| old.is_some()) else {
+                    continue;
+                };
+                let seen = times[..=at].iter().rev().take_while(|t| **t > start).count();
+                let most = f64::from(limit) * (span.as_secs_f64() + 1.0);
+                if seen as f64 > most {
+                    found.push((*end, format!("QUOTA: tenant {tenant} had {seen} of {most} in a span")));
+                    break;
+                }
+            }
+        }
+        found.into_iter().for_each(|(at, what)| self.breaks(at, what));
+    }
+
     pub fn windows_reported(&self) -> usize {
         self.reports.len()
     }
--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -135,6 +135,9 @@
     lag: Duration,
     /// When something last happened that is no planned work.
     troubled: Option<Duration>,
+    /// Every tenant's limit, a second; none for no limit. Those in force, with when each was acknowledged.
+    limit: Option<u32>,
+    limits: Vec<(Duration, u32)>,
     pub cap: u32,
     pub judge: Judge,
     platform_up: bool,
@@ -165,10 +168,12 @@
 const GRACE: Duration = Duration::from_secs(6);
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 const CONTACT: Duration = Duration::from_secs(4);
+/// Limits are counted over any span of this length.
+const QUOTA_SPAN: Duration = Duration::from_secs(5);
 /// New clients come for a while after a forager has told that it leaves.
 const LATECOMERS: Duration = Duration::from_millis(2600);
 /// Actions that are work of the operator's or the world's own; anything else is trouble.
-const PLANNED: [&str; 19] = [
+const PLANNED: [&str; 20] = [
     "mark",
     "idlebeats",
     "config",
@@ -180,6 +185,7 @@
     "leave",
     "restart",
     "turn",
+    "limit",
     "severed",
     "roll",
     "lag",
@@ -219,6 +225,8 @@
             unread: HashSet::new(),
             lag: Duration::from_millis(2),
             troubled: None,
+            limit: None,
+            limits: Vec::new(),
             cap: 60,
             judge: Judge::default(),
             platform_up: true,
@@ -529,6 +537,9 @@
                                     relay.leader_answered(now, ip, grant.digests.as_ref());
                                     field.granted(now, ip, grant);
                                 }
+                                Some(Dance::Poured { nonce, span, term, pours }) => {
+                                    field.poured(now, nonce, span, term, pours)
+                                }
                                 Some(Dance::Led { leader }) => field.led(now, leader),
                                 Some(Dance::Recall { service, epoch }) => field.recalled(now, ip, &service, epoch),
                                 _ => {}
@@ -735,7 +746,12 @@
             royal::Effect::Reply(token, response) => {
                 if token > 0 && token < 1_000_000 {
                     match response.status {
-                        200 => self.acked_revision = self.acked_revision.max(token),
+                        200 => {
+                            self.acked_revision = self.acked_revision.max(token);
+                            if let Some(limit) = self.limit {
+                                self.limits.push((self.now, limit));
+                            }
+                        }
                         400..=499 => self.refused += 1,
                         _ => {}
                     }
@@ -976,6 +992,14 @@
         if text.contains("QUERY c") && leaves.is_some_and(|at| self.now > at + DRAIN) {
             self.judge.breaks(self.now, format!("DRAIN: n{n} sends {text:?} to {}", self.instances[i].id));
         }
+        // "QUERY cCLIENT-OPERATION-TRY-STATEMENT ..."
+        for id in text.split("QUERY c").skip(1).filter_map(|q| q.split(' ').next()) {
+            if let Some((try_id, _)) = id.rsplit_once('-') {
+                let tenant =
+                    try_id.split('-').next().and_then(|c| c.parse::<usize>().ok()).unwrap_or(0) % self.keys.len();
+                self.judge.arrives(self.now, tenant, try_id);
+            }
+        }
         self.instances[i].follow(self.now, &self.log);
         let (answer, end) =
             self.instances[i].take(self.now, line_key((n, life, conn)), text, &mut self.log, &mut self.judge);
@@ -1269,8 +1293,9 @@
             .iter()
             .map(|i| format!(r#",{{"name":"{}","max-connections":{}}}"#, i.service, self.cap))
             .collect();
-        let keys: Vec<String> =
-            self.keys.iter().enumerate().map(|(n, k)| format!(r#"{{"name":"t{n}","api-keys":["{k}"]}}"#)).collect();
+        let limit = self.limit.map(|l| format!(r#","rate-per-s":{l},"burst":{l}"#)).unwrap_or_default();
+        let tenant = |(n, k): (usize, &String)| format!(r#"{{"name":"t{n}","api-keys":["{k}"]{limit}}}"#);
+        let keys: Vec<String> = self.keys.iter().enumerate().map(tenant).collect();
         format!(
             r#"{{"revision":{revision},"routes":[{idle}{},{},{}],"backends":[{{"name":"{SERVICE}","max-connections":{}}}{services}],"limits":{{"tx-rest-ms":3000}},"customers":[{}]}}"#,
             route(ROUTES[0], "primary", ""),
@@ -1451,6 +1476,10 @@
                     }
                 }
             }
+            "limit" => {
+                self.limit = who.parse().ok();
+                self.act("config");
+            }
             "lag" => self.lag = Duration::from_millis(who.parse().unwrap_or(2)),
             "crash" | "dark" => {
                 let i = if who == "primary" {
@@ -1530,6 +1559,7 @@
     /// After everything has settled: one configuration everywhere, and the newest acknowledged.
     pub fn finish(&mut self) {
         self.judge.settle(self.now);
+        self.judge.count(&self.limits, QUOTA_SPAN, self.now);
         if self.raced > 1 {
             self.judge.breaks(self.now, "CONFIG: both of two racing changes were acknowledged".into());
         }
--- a/brood/src/connection/session.rs
+++ b/brood/src/connection/session.rs
@@ -94,6 +94,9 @@
     pub tried: Vec<String>,
     /// Answers that promised it had not run, so far.
     pub promises: u32,
+    /// Its tenant's limit lets it through, or it has waited for that.
+    pub admitted: bool,
+    pub thirsty: bool,
     /// It stands in the usage counts.
     pub counted: bool,
     /// Since when it waits for a connection.
--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -1,5 +1,6 @@
 //! What daemons say to each other, in `bincode` frames.
 
+use super::nectar::{Need, Pour};
 use super::raft;
 use super::repair::{Digests, Fact};
 use super::views::Card;
@@ -66,6 +67,19 @@
     },
     Ask(Ask),
     Grant(Grant),
+    /// A forager is short of rights now and does not wait until it asks again anyway.
+    Dip {
+        nonce: u64,
+        node: String,
+        life: u64,
+        needs: Vec<Need>,
+    },
+    Poured {
+        nonce: u64,
+        span: Duration,
+        term: u64,
+        pours: Vec<Pour>,
+    },
     /// Not by this daemon: that one leads.
     Led {
         leader: Ipv4Addr,
@@ -111,6 +125,10 @@
     pub demand: u32,
     /// Over the digests of the copies here.
     pub sum: u64,
+    /// The rights held for tenants with a limit, where something has changed; for a leader that this
+    /// forager has not told yet (`known` is the last one's term), of all.
+    pub needs: Vec<Need>,
+    pub known: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -134,6 +152,8 @@
     pub reported: Option<u64>,
     /// Of the leader's copies, for one whose copies differ.
     pub digests: Option<Digests>,
+    pub term: u64,
+    pub pours: Vec<Pour>,
 }
 
 /// Frames are bounded; nothing daemons say comes near this.
--- a/brood/src/process/duties.rs
+++ b/brood/src/process/duties.rs
@@ -5,10 +5,13 @@
 
 use super::carry::{Part, Parts};
 use super::dance::{Ask, Dance, Sight};
+use super::nectar::{Need, Pour, Stores};
 use super::registry::Registry;
 use super::repair::Instance;
+use super::royal::CONFIRM;
 use super::settings::{Bounds, Platform};
 use crate::connection::session::Position;
+use crate::version::config;
 use crate::version::ledger::{Command, Ledger};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -147,6 +150,8 @@
     lead: Option<(u64, Instant)>,
     moves: BTreeMap<String, Move>,
     foragers: BTreeMap<Ipv4Addr, Forager>,
+    /// The tenants' rights, once a limit is in force.
+    stores: Option<Stores>,
     /// By node and life, then window.
     counts: BTreeMap<(String, u64), BTreeMap<u64, BTreeMap<String, u64>>>,
     sent: BTreeSet<u64>,
@@ -194,6 +199,7 @@
             lead: None,
             moves: BTreeMap::new(),
             foragers: BTreeMap::new(),
+            stores: None,
             counts: BTreeMap::new(),
             sent: BTreeSet::new(),
             usage_calling: None,
@@ -228,6 +234,7 @@
         self.lead = None;
         self.moves.clear();
         self.foragers.clear();
+        self.stores = None;
         self.sent.clear();
         self.usage_proposed = None;
         self.usage_calling = None;
@@ -235,9 +242,11 @@
     }
 
     /// A forager asks for leases. Only a confirmed leader is asked to answer.
-    pub fn asked(&mut self, scene: &Scene, from: Ipv4Addr, ask: Ask) -> (Vec<(String, u64)>, Option<u64>) {
+    pub fn asked(&mut self, scene: &Scene, from: Ipv4Addr, ask: Ask) -> (Vec<(String, u64)>, Option<u64>, Vec<Pour>) {
         let now = scene.now;
         self.begin(now, scene.term);
+        let whole = ask.known == scene.term;
+        let pours = self.pour(now, scene.term, scene.ledger, (&ask.node, ask.life), whole, ask.needs);
         self.counts.entry((ask.node.clone(), ask.life)).or_default().extend(ask.usage);
         let mut leases = Vec::new();
         for service in ask.wants {
@@ -263,7 +272,28 @@
         for (service, epoch) in &leases {
             forager.leases.insert(service.clone(), (*epoch, now + LEASE));
         }
-        (leases, scene.ledger.reports.keys().next_back().copied())
+        (leases, scene.ledger.reports.keys().next_back().copied(), pours)
+    }
+
+    /// Gives out tenants' rights. Only a confirmed leader is asked to.
+    pub fn pour(
+        &mut self,
+        now: Instant,
+        term: u64,
+        ledger: &Ledger,
+        who: (&str, u64),
+        whole: bool,
+        needs: Vec<Need>,
+    ) -> Vec<Pour> {
+        self.begin(now, term);
+        let since = self.lead.map_or(now, |(_, since)| since);
+        let excess = (self.bounds.quota_excess, self.bounds.quota_slack);
+        let stores = self.stores.get_or_insert_with(|| Stores::new(since, term, LEASE, CONFIRM, excess));
+        if stores.revision() != ledger.revision() {
+            let document = ledger.config.as_ref().and_then(|c| config::read(&c.raw).ok());
+            stores.learn(ledger.revision(), document.map(|d| config::quotas(&d)).unwrap_or_default());
+        }
+        stores.asked(now, who, whole, needs, ledger.parts.keys())
     }
 
     pub fn returned(&mut self, from: Ipv4Addr, service: &str, epoch: u64) {
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -4,6 +4,7 @@
 
 use super::carry::{self, Parts, Roster};
 use super::dance::{Ask, Dance, Grant, Sight};
+use super::nectar::{Crop, Pour, Sip};
 use super::relay::Relay;
 use super::repair::{Fact, Instance, Value};
 use super::settings::Bounds;
@@ -101,6 +102,10 @@
 const GRANT_PATIENCE: Duration = Duration::from_millis(700);
 /// Answers that take no longer tell that the link is free.
 const ROUND_FREE: Duration = Duration::from_millis(60);
+/// Questions to the leader whose answers are taken.
+const ASKED_KEPT: usize = 48;
+/// Pause between askings for rights out of turn.
+const DIP_PAUSE: Duration = Duration::from_millis(25);
 /// After a recall, open work on a primary that still answers gets this long.
 const RECALL_GRACE: Duration = Duration::from_millis(100);
 /// Observations of a primary's position are kept this far apart, and this long.
@@ -203,6 +208,15 @@
     wanted: BTreeMap<String, Instant>,
     /// Leases that were recalled are still in use.
     recalling: bool,
+    /// The rights held for tenants with a limit, and the requests that wait for some.
+    crop: Crop,
+    parched: Vec<SessionId>,
+    /// When the leader is asked for rights out of turn, and not before when.
+    dip_due: Option<Instant>,
+    dip_after: Instant,
+    /// The leader is yet to be told all that is held here; the last ask that told it.
+    tell_whole: bool,
+    told_whole: u64,
     nonce: u64,
     asked: VecDeque<(u64, Instant)>,
     leaving: Option<Instant>,
@@ -245,6 +259,12 @@
             lease_due: None,
             wanted: BTreeMap::new(),
             recalling: false,
+            crop: Crop::new(life),
+            parched: Vec::new(),
+            dip_due: None,
+            dip_after: now,
+            tell_whole: true,
+            told_whole: 0,
             nonce: 0,
             asked: VecDeque::new(),
             leaving: None,
@@ -472,21 +492,22 @@
         let asked: Vec<Ipv4Addr> = match self.leader {
             Some(leader) if now.duration_since(self.granted_at) < GRANT_PATIENCE => vec![leader],
             leader => {
+                self.tell_whole = true;
                 let hinted = leader.filter(|l| !self.queens.contains(l));
                 self.queens.iter().copied().chain(hinted).collect()
             }
         };
-        self.nonce += 1;
-        self.asked.push_back((self.nonce, now));
-        if self.asked.len() > 16 {
-            self.asked.pop_front();
+        let nonce = self.note_asked(now);
+        if self.tell_whole {
+            self.told_whole = nonce;
         }
+        let needs = self.crop.needs(now, self.tell_whole);
         let sights = self.sights(now);
         self.wanted.retain(|_, at| now.duration_since(*at) < WANT_KEEP);
         let carried = self.roster.carried().filter(|s| !self.wanted.contains_key(*s)).cloned();
         let wants = self.wanted.keys().cloned().chain(carried).collect();
         let ask = Ask {
-            nonce: self.nonce,
+            nonce,
             node: self.node.clone(),
             zone: self.zone.clone(),
             life: self.life,
@@ -495,12 +516,79 @@
             sights,
             demand: self.conns.values().filter(|c| matches!(c.usage, Use::Busy(_))).count() as u32,
             sum: self.copies_sum,
+            needs,
+            known: self.crop.known,
         };
         for queen in asked {
             self.out.push(Effect::Send(queen, Dance::Ask(ask.clone())));
         }
     }
 
+    fn note_asked(&mut self, now: Instant) -> u64 {
+        self.nonce += 1;
+        self.asked.push_back((self.nonce, now));
+        if self.asked.len() > ASKED_KEPT {
+            self.asked.pop_front();
+        }
+        self.nonce
+    }
+
+    // ---- limits -----------------------------------------------------------------------------
+
+    /// Whether a request may begin: its tenant has no limit, or a right held here is spent on it. Else it
+    /// waits for one, or is turned away.
+    fn admit(&mut self, now: Instant, sid: SessionId) -> bool {
+        let Some(config) = &self.config else { return true };
+        let Some(op) = self.sessions.get_mut(&sid).and_then(|s| s.op.as_mut()) else { return false };
+        if op.admitted || !config.quotas.contains_key(&op.tenant) {
+            return true;
+        }
+        match self.crop.sip(now, &op.tenant, std::mem::replace(&mut op.thirsty, true)) {
+            Sip::Admitted => {
+                op.admitted = true;
+                true
+            }
+            Sip::Ask => {
+                let until = op.arrived + op.route.deadline.mul_f64(HOLD);
+                self.timers.push(Reverse((until.max(now), Timer::Hold(sid, op.number))));
+                self.parched.push(sid);
+                self.dip_due.get_or_insert(self.dip_after.max(now));
+                false
+            }
+            Sip::Dry => {
+                let verdict = Verdict::busy("the tenant is at its limit; come back in 200 ms");
+                self.tell(now, sid, &verdict, true);
+                false
+            }
+        }
+    }
+
+    /// Asks the leader for the rights that requests wait for.
+    fn dip(&mut self, now: Instant) {
+        self.dip_due = None;
+        self.dip_after = now + DIP_PAUSE;
+        let Some(leader) = self.leader else { return };
+        let nonce = self.note_asked(now);
+        let needs = self.crop.needs(now, false);
+        let (node, life) = (self.node.clone(), self.life);
+        self.out.push(Effect::Send(leader, Dance::Dip { nonce, node, life, needs }));
+    }
+
+    /// The leader gave rights.
+    pub fn poured(&mut self, now: Instant, nonce: u64, span: Duration, term: u64, pours: Vec<Pour>) {
+        let Some((_, asked)) = self.asked.iter().find(|(n, _)| *n == nonce).copied() else { return };
+        if self.crop.poured(now, asked + span, term, pours) {
+            self.tell_whole = true;
+            self.ask_due = now;
+        } else if nonce == self.told_whole {
+            self.tell_whole = false;
+        }
+        for sid in std::mem::take(&mut self.parched) {
+            self.dispatch(now, sid);
+            self.proceed(now, sid);
+        }
+    }
+
     fn sights(&self, now: Instant) -> Vec<Sight> {
         let mut sights = Vec::new();
         for (name, s) in &self.services {
@@ -579,6 +667,7 @@
                 lease => *lease = Some((epoch, until)),
             }
         }
+        self.poured(now, grant.nonce, grant.span, grant.term, grant.pours);
         if let Some(reported) = grant.reported {
             self.usage.retain(|w, _| *w > reported);
         }
@@ -973,6 +1062,8 @@
             stage: Stage::Waiting,
             tried: Vec::new(),
             promises: 0,
+            admitted: false,
+            thirsty: false,
             counted: false,
             queued: None,
             route,
@@ -1020,9 +1111,11 @@
     fn dispatch(&mut self, now: Instant, sid: SessionId) {
         let Some(session) = self.sessions.get(&sid) else { return };
         let Some(op) = &session.op else { return };
-        if op.stage != Stage::Waiting {
+        if op.stage != Stage::Waiting || !self.admit(now, sid) {
             return;
         }
+        let Some(session) = self.sessions.get(&sid) else { return };
+        let Some(op) = &session.op else { return };
         let service = op.route.service.clone();
         let (plain, began) = match &session.tx {
             Tx::Lazy { read, began, .. } => (!read, *began),
@@ -2024,7 +2117,7 @@
 
     pub fn next_due(&self) -> Instant {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
-        [self.moves_due, self.lease_due, timer].into_iter().flatten().fold(self.ask_due, Instant::min)
+        [self.moves_due, self.lease_due, self.dip_due, timer].into_iter().flatten().fold(self.ask_due, Instant::min)
     }
 
     /// Whether a timer's occasion has passed: waking for it would be for nothing.
@@ -2071,6 +2164,9 @@
         if self.moves_due.is_some_and(|due| now >= due) {
             self.move_sessions(now);
         }
+        if self.dip_due.is_some_and(|due| now >= due) {
+            self.dip(now);
+        }
         if now >= self.ask_due {
             self.ask(now);
             self.release_held(now, None);
--- a/brood/src/process/mod.rs
+++ b/brood/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod dance;
 pub mod duties;
 pub mod field;
+pub mod nectar;
 pub mod raft;
 pub mod registry;
 pub mod relay;
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -493,9 +493,15 @@
                     wall: Duration::ZERO,
                     confirm: CONFIRM,
                 };
-                let (leases, reported) = self.duties.asked(&scene, from, ask);
+                let (leases, reported, pours) = self.duties.asked(&scene, from, ask);
                 let digests = (sum != self.relay.copies.sum()).then(|| self.relay.copies.digests());
-                self.send(from, Dance::Grant(Grant { nonce, leases, span: duties::LEASE, reported, digests }));
+                let (span, term) = (duties::LEASE, self.raft.term());
+                self.send(from, Dance::Grant(Grant { nonce, leases, span, reported, digests, term, pours }));
+            }
+            Dance::Dip { nonce, node, life, needs } if self.raft.confirmed(now) => {
+                let term = self.raft.term();
+                let pours = self.duties.pour(now, term, &self.ledger, (&node, life), false, needs);
+                self.send(from, Dance::Poured { nonce, span: duties::LEASE, term, pours });
             }
             Dance::Returned { service, epoch } => {
                 self.duties.returned(from, &service, epoch);
--- a/brood/src/process/settings.rs
+++ b/brood/src/process/settings.rs
@@ -122,6 +122,11 @@
     pub usage_window_s: f64,
     #[garde(range(min = 0.0))]
     pub usage_delay_s: f64,
+    /// Part and number by which a tenant's limit may be passed.
+    #[garde(range(min = 0.0))]
+    pub quota_excess: f64,
+    #[garde(range(min = 0.0))]
+    pub quota_slack: f64,
 }
 
 impl Default for Bounds {
@@ -134,6 +139,8 @@
             thaw_ms: 300.0,
             usage_window_s: 5.0,
             usage_delay_s: 10.0,
+            quota_excess: 0.0,
+            quota_slack: 0.0,
         }
     }
 }
--- a/brood/src/version/config.rs
+++ b/brood/src/version/config.rs
@@ -26,6 +26,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     Primary,
+    #[serde(alias = "bounded_stale")]
     Bounded,
     OwnWrites,
 }
@@ -53,7 +54,7 @@
     pub rank: u32,
     #[garde(length(min = 1))]
     pub service: String,
-    #[serde(default, rename = "stale_ms")]
+    #[serde(default, rename = "stale_ms", alias = "max-staleness-ms")]
     #[garde(skip)]
     pub stale_ms: Option<u64>,
     #[serde(default)]
@@ -101,6 +102,29 @@
     #[serde(default)]
     #[garde(skip)]
     pub rank: u32,
+    /// Operations a second that all daemons together let through; none for no limit.
+    #[serde(default)]
+    #[garde(range(min = 0.0))]
+    pub rate_per_s: Option<f64>,
+    #[serde(default)]
+    #[garde(range(min = 0.0))]
+    pub burst: Option<f64>,
+}
+
+/// A tenant's limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Quota {
+    pub rate: f64,
+    pub burst: f64,
+}
+
+/// The limits of those that have one; a burst that is not named is a second's worth.
+pub fn quotas(document: &Document) -> HashMap<String, Quota> {
+    let limit = |c: &Customer| {
+        let rate = c.rate_per_s.filter(|r| *r > 0.0)?;
+        Some((c.name.clone(), Quota { rate, burst: c.burst.unwrap_or(rate) }))
+    };
+    document.customers.iter().filter_map(limit).collect()
 }
 
 /// Reads and checks a document; the message names what is wrong.
@@ -154,6 +178,8 @@
     pub backends: BTreeMap<String, Backend>,
     /// Key to tenant.
     pub keys: HashMap<String, String>,
+    /// Tenants whose operations are counted.
+    pub quotas: HashMap<String, Quota>,
     pub tx_rest: Duration,
 }
 
@@ -186,6 +212,7 @@
             routes,
             backends: document.backends.iter().map(|b| (b.name.clone(), b.clone())).collect(),
             keys,
+            quotas: quotas(document),
             tx_rest: Duration::from_millis(document.limits.tx_rest_ms),
         }
     }
@@ -209,6 +236,16 @@
         "deadline-ms":800,"service":"s","stale_ms":1500}],"backends":[{"name":"s","max-connections":60}],
         "customers":[{"name":"t","api-keys":["k1"]},{"name":"u","api-keys":["k2"]}]}"#;
 
+    #[test]
+    fn limits_and_the_other_words_for_a_bounded_route_are_read() {
+        let other = GOOD.replace("\"bounded\"", "\"bounded_stale\"").replace("stale_ms", "max-staleness-ms");
+        let other = other.replace("[\"k1\"]", "[\"k1\"],\"rate-per-s\":244,\"burst\":12.5");
+        let document = read(other.as_bytes()).expect("a good one");
+        assert_eq!((document.routes[0].kind, document.routes[0].stale_ms), (Kind::Bounded, Some(1500)));
+        assert_eq!(quotas(&document), HashMap::from([("t".to_owned(), Quota { rate: 244.0, burst: 12.5 })]));
+        assert!(read(other.replace("244", "-1").as_bytes()).expect_err("a limit below 0").contains("rate_per_s"));
+    }
+
     #[test]
     fn good_is_taken_and_each_kind_of_bad_is_named() {
         assert_eq!(read(GOOD.as_bytes()).map(|d| d.revision), Ok(7));
--- a/forager/src/drive.rs
+++ b/forager/src/drive.rs
@@ -189,6 +189,9 @@
                 self.relay.borrow_mut().leader_answered(now, from, grant.digests.as_ref());
                 self.field.borrow_mut().granted(now, from, grant);
             }
+            Some(Dance::Poured { nonce, span, term, pours }) => {
+                self.field.borrow_mut().poured(now, nonce, span, term, pours)
+            }
             Some(Dance::Led { leader }) => self.field.borrow_mut().led(now, leader),
             Some(Dance::Recall { service, epoch }) => self.field.borrow_mut().recalled(now, from, &service, epoch),
             _ => {}
