A session that found no carrier is sent to look again after two seconds

Traced: the refusals ("no instance could take it") came from a few foragers that served sessions of services which others carry, on the single connection that is meant for the moment in which no carrier answers. Ruled out: the limits (16 of 1,768 refusals) and the fail-over (done in 0.7 s). Such sessions were moved only when shares or the configuration changed. Now a session that has been there for 2 s is closed after an operation, by the one rule for closing.

--- a/brood/src/connection/session.rs
+++ b/brood/src/connection/session.rs
@@ -109,6 +109,7 @@
     pub key: String,
     /// Set once `CONNECT` was answered.
     pub open: bool,
+    pub opened: Option<Instant>,
     pub lines: Lines,
     pub values: BTreeMap<String, String>,
     pub prepared: HashMap<String, Shape>,
@@ -135,6 +136,7 @@
             database: String::new(),
             key: String::new(),
             open: false,
+            opened: None,
             lines: Lines::default(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -122,6 +122,8 @@
 /// Share of `drain-ms` in which a leaving primary is used while no other has taken over; the rest is
 /// for the news' way here and the request's way there.
 const DRAIN_USE: f64 = 0.6;
+/// A session that found no carrier stays here this long before its client is sent to look again.
+const STRAY: Duration = Duration::from_secs(2);
 /// Pause between such turns when sessions move to other foragers.
 const MOVE_PAUSE: Duration = Duration::from_millis(200);
 /// How many bytes of statements a session may queue.
@@ -877,14 +879,22 @@
         }
     }
 
+    /// Whether others carry the session's service, and it has been here for a while: its client may find
+    /// them now. Here it would have to make do with a single connection.
+    fn strays(&self, now: Instant, sid: SessionId) -> bool {
+        let Some(session) = self.sessions.get(&sid) else { return false };
+        let Some(route) = self.config.as_ref().and_then(|c| c.routes.get(&session.database)) else { return false };
+        session.opened.is_some_and(|at| now.duration_since(at) > STRAY) && self.roster.elsewhere(&route.service)
+    }
+
     /// The client has its answer; `readied` by a statement that only prepares an operation.
     fn has_answer(&mut self, now: Instant, sid: SessionId, readied: bool) {
-        let leaving = self.leaving.is_some();
+        let goes = self.leaving.is_some() || self.strays(now, sid);
         let Some(session) = self.sessions.get_mut(&sid) else { return };
         session.gait.answered(readied);
         // One whose transaction failed has had its answer too; what is left is its end.
         let ended = matches!(session.tx, Tx::Failed { told: true }) && session.op.is_none();
-        if leaving && (ended || session.gait.may_close(now, session.standing(), Phase::Leaves, true)) {
+        if goes && (ended || session.gait.may_close(now, session.standing(), Phase::Leaves, true)) {
             self.part(sid, Phase::Leaves);
         }
     }
@@ -912,6 +922,7 @@
                 session.database = database.to_owned();
                 session.key = key.to_owned();
                 session.open = true;
+                session.opened = Some(now);
                 session.gait.stirs(now);
                 let service = self.config.as_ref().and_then(|c| c.routes.get(database)).map(|r| r.service.clone());
                 if let Some(service) = service {
