--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -2419,4 +2419,47 @@
         field.tick(later, 1);
         assert!(field.next_due() > later);
     }
+
+    /// A session that came while no carrier answered is sent to look again, once its operation has ended.
+    #[test]
+    fn a_session_whose_service_others_carry_does_not_stay_for_good() {
+        let start = Instant::now();
+        let at = |ms| start + Duration::from_millis(ms);
+        let mut field = Field::new(start, "edge-0", "z0", Bounds::default(), 1);
+        let share = |n: u8| {
+            let part = carry::Part { ip: Ipv4Addr::new(10, 0, 0, n), zone: format!("z{}", n % 3) };
+            Fact {
+                key: format!("s/edge-{n}"),
+                version: 1,
+                value: Value::Share { name: format!("edge-{n}"), part: Some(part) },
+            }
+        };
+        let names: Vec<String> = (0..12).map(|n| format!("s{n}")).collect();
+        let route = |s: &String| {
+            format!(r#"{{"name":"{s}","hostname":"{s}","type":"primary","deadline-ms":800,"service":"{s}"}}"#)
+        };
+        let routes: Vec<String> = names.iter().map(route).collect();
+        let backends: Vec<String> = names.iter().map(|s| format!(r#"{{"name":"{s}","max-connections":20}}"#)).collect();
+        let raw = format!(
+            r#"{{"revision":2,"routes":[{}],"backends":[{}],"customers":[{{"name":"t","api-keys":["k"]}}]}}"#,
+            routes.join(","),
+            backends.join(",")
+        );
+        let config = Fact { key: "c/".into(), version: 2, value: Value::Config(raw.into_bytes()) };
+        field.learn(start, &(0..12).map(share).chain([config]).collect::<Vec<_>>());
+        let parts = |field: &mut Field| field.effects().iter().any(|e| matches!(e, Effect::Part(_)));
+        for (sid, service) in names.iter().enumerate() {
+            let sid = sid as SessionId;
+            let elsewhere = field.roster.elsewhere(service);
+            field.accept(sid);
+            field.client_bytes(start, sid, format!("CONNECT {service} k\r\nQUERY a READ\r\n").as_bytes());
+            field.client_bytes(at(100), sid, b"QUERY b COMMIT\r\n");
+            assert!(!parts(&mut field), "it has only just come");
+            field.client_bytes(at(2100), sid, b"QUERY c SET x 1\r\n");
+            assert!(!parts(&mut field), "its operation is still to come");
+            field.client_bytes(at(2200), sid, b"QUERY d COMMIT\r\n");
+            assert_eq!(parts(&mut field), elsewhere, "{service}");
+        }
+        assert!(names.iter().any(|s| field.roster.elsewhere(s)) && !names.iter().all(|s| field.roster.elsewhere(s)));
+    }
 }
