--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -420,17 +420,15 @@
             }
         }
         let through = |sid: &u64| self.splices.get(sid).is_some_and(|(door, _)| *door == n);
-        let ended: Vec<(u64, usize)> =
-            self.sessions.iter().filter(|(sid, (f, _))| *f == n || through(sid)).map(|(s, (_, c))| (*s, *c)).collect();
-        for (sid, client) in ended {
+        let ended: Vec<u64> =
+            self.sessions.iter().filter(|(sid, (f, _))| *f == n || through(sid)).map(|(s, _)| *s).collect();
+        for sid in ended {
             // The forager that a carried session came to has the last word.
             if let Some((door, splice)) = self.splices.get_mut(&sid)
                 && *door != n
             {
                 let last = splice.sever();
-                if !last.is_empty() {
-                    self.after(self.lag, Event::ToClient(client, sid, Some(last)));
-                }
+                self.tell(sid, self.lag, last);
             }
             let rests = |(_, s): &(usize, Splice)| s.may_close(self.base + self.now, Phase::Serves, false);
             if self.splices.get(&sid).is_none_or(|s| s.0 == n || rests(s)) {
@@ -869,19 +867,13 @@
                     let (now, phase) = (self.base + self.now, self.phase(door));
                     let closes = |(_, s): &(usize, Splice)| s.may_close(now, phase, true);
                     let answered = !text.is_empty() && self.splices.get(&sid).is_some_and(closes);
-                    if let Some((_, c)) = self.sessions.get(&sid).copied()
-                        && !text.is_empty()
-                    {
-                        self.after(self.lag, Event::ToClient(c, sid, Some(text)));
-                    }
+                    self.tell(sid, self.lag, text);
                     if heard.part || answered {
                         self.part(sid);
                     }
                     return;
                 }
-                if let Some((_, c)) = self.sessions.get(&sid).copied() {
-                    self.after(self.lag, Event::ToClient(c, sid, Some(text)));
-                }
+                self.tell(sid, self.lag, text);
             }
             field::Effect::CloseClient(sid) => self.hang_up(sid),
             field::Effect::Part(sid) => self.part(sid),
@@ -909,6 +901,15 @@
         }
     }
 
+    /// A session's client hears something, if there is something.
+    fn tell(&mut self, sid: u64, delay: Duration, text: String) {
+        if let Some((_, c)) = self.sessions.get(&sid).copied()
+            && !text.is_empty()
+        {
+            self.after(delay, Event::ToClient(c, sid, Some(text)));
+        }
+    }
+
     /// A session's client learns of the end; whoever serves it too.
     fn hang_up(&mut self, sid: u64) {
         if let Some((_, c)) = self.sessions.get(&sid).copied() {
@@ -966,11 +967,7 @@
             let cuts = phase == Phase::Ends || (phase == Phase::Cuts && splice.is_open());
             let last = if cuts && !splice.is_severed() { splice.sever() } else { String::new() };
             let may = splice.may_close(now, phase, false) && (closed < CLOSED_AT_ONCE || phase == Phase::Ends);
-            if let Some((_, c)) = self.sessions.get(&sid).copied()
-                && !last.is_empty()
-            {
-                self.after(self.lag, Event::ToClient(c, sid, Some(last)));
-            }
+            self.tell(sid, self.lag, last);
             if may {
                 closed += 1;
                 self.part(sid);
--- a/brood/src/process/carry.rs
+++ b/brood/src/process/carry.rs
@@ -286,7 +286,7 @@
         phase > Phase::Serves && (failed || self.gait.may_close(now, standing, phase, answered))
     }
 
-    /// Nobody serves it any more, its client has a transaction open and is to be told when it goes on.
+    /// Whether its client has a transaction open, and asks nothing.
     pub fn is_open(&self) -> bool {
         self.standing() == Standing::Open
     }
--- a/brood/src/process/field.rs
+++ b/brood/src/process/field.rs
@@ -227,6 +227,11 @@
     ready_bees: Vec<String>,
 }
 
+/// Until when a request is held without having been sent.
+fn held_until(op: &Op) -> Instant {
+    op.arrived + op.route.deadline.mul_f64(HOLD)
+}
+
 impl Field {
     pub fn new(now: Instant, node: &str, zone: &str, bounds: Bounds, life: u64) -> Self {
         Field {
@@ -551,7 +556,7 @@
                 true
             }
             Sip::Ask => {
-                let until = op.arrived + op.route.deadline.mul_f64(HOLD);
+                let until = held_until(op);
                 self.timers.push(Reverse((until.max(now), Timer::Hold(sid, op.number))));
                 self.parched.push(sid);
                 self.dip_due.get_or_insert(self.dip_after.max(now));
@@ -1219,7 +1224,7 @@
     /// Waits for a lease, an observation or an instance.
     fn hold(&mut self, now: Instant, sid: SessionId, service: &str) {
         let Some(op) = self.sessions.get(&sid).and_then(|s| s.op.as_ref()) else { return };
-        let until = op.arrived + op.route.deadline.mul_f64(HOLD);
+        let until = held_until(op);
         self.timers.push(Reverse((until.max(now), Timer::Hold(sid, op.number))));
         let s = self.services.entry(service.to_owned()).or_default();
         if !s.held.contains(&sid) {
@@ -1371,11 +1376,7 @@
             let patience = op.route.target.mul_f64(OPEN_AFTER);
             self.timers.push(Reverse((now + patience, Timer::Open(sid, number))));
         }
-        let hold = self
-            .sessions
-            .get(&sid)
-            .and_then(|s| s.op.as_ref())
-            .map(|op| (op.arrived + op.route.deadline.mul_f64(HOLD), op.number));
+        let hold = self.sessions.get(&sid).and_then(|s| s.op.as_ref()).map(|op| (held_until(op), op.number));
         if let Some((until, number)) = hold {
             self.timers.push(Reverse((until.max(now), Timer::Hold(sid, number))));
         }
@@ -1738,7 +1739,7 @@
         op.stage = Stage::Waiting;
         op.promises += 1;
         let service = op.route.service.clone();
-        let late = now >= op.arrived + op.route.deadline.mul_f64(HOLD);
+        let late = now >= held_until(op);
         if late {
             return self.tell(now, sid, &Verdict::busy("every instance is busy; come back in 50 ms"), true);
         }
--- a/brood/src/process/nectar.rs
+++ b/brood/src/process/nectar.rs
@@ -104,6 +104,17 @@
     target: u64,
 }
 
+impl Need {
+    /// What it tells, as a copy of the counter.
+    fn copy(&self, life: Holder) -> Nectar {
+        let mut copy = Nectar::default();
+        self.taken.iter().for_each(|(from, n)| copy.raise(*from, life, *n));
+        self.given.iter().for_each(|(to, n)| copy.raise(life, *to, *n));
+        copy.raise_spent(life, self.spent);
+        copy
+    }
+}
+
 /// The same from the leader: what it has given this forager in all, and what is taken as spent.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Pour {
@@ -112,6 +123,15 @@
     spent: u64,
 }
 
+impl Pour {
+    fn copy(&self, leader: Holder, life: Holder) -> Nectar {
+        let mut copy = Nectar::default();
+        copy.raise(leader, life, self.given);
+        copy.raise_spent(life, self.spent);
+        copy
+    }
+}
+
 /// Whether an operation may begin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sip {
@@ -236,8 +256,7 @@
         self.until = self.until.max(Some(until));
         for pour in pours {
             let Some(pot) = self.pots.get_mut(&pour.tenant) else { continue };
-            pot.nectar.raise(leader, self.me, pour.given);
-            pot.nectar.raise_spent(self.me, pour.spent);
+            pot.nectar.merge(&pour.copy(leader, self.me));
             let empty = pot.waiting > 0 && pot.nectar.local_rights(self.me) <= 0;
             pot.dry = empty.then_some(now);
         }
@@ -258,7 +277,7 @@
 #[derive(Debug, Default)]
 struct Jar {
     nectar: Nectar,
-    /// Rights created so far, with the part of one that is under way, and up to when.
+    /// The part of a right that is under way, and up to when time has been counted.
     credit: f64,
     filled: Option<Instant>,
     /// Held by foragers: the sum of their local rights, kept as they change.
@@ -323,10 +342,8 @@
         needs: Vec<Need>,
         roster: impl Iterator<Item = &'a String>,
     ) -> Vec<Pour> {
-        let earlier = |(l, (n, _)): (&Holder, &(String, Instant))| (n == name && *l != life).then_some(*l);
         // A daemon that has begun anew spends nothing of its earlier life any more.
-        let gone: Vec<Holder> = self.lives.iter().filter_map(earlier).collect();
-        gone.into_iter().for_each(|life| self.write_off(life));
+        self.write_off(|l, n, _| n == name && l != life);
         self.lives.insert(life, (name.to_owned(), now));
         self.sweep(now);
         if whole {
@@ -346,9 +363,7 @@
         let (me, since) = (self.me, self.since);
         let jar = self.jars.entry(need.tenant.clone()).or_default();
         let before = jar.nectar.local_rights(life).max(0);
-        need.taken.iter().for_each(|(from, n)| jar.nectar.raise(*from, life, *n));
-        need.given.iter().for_each(|(to, n)| jar.nectar.raise(life, *to, *n));
-        jar.nectar.raise_spent(life, need.spent);
+        jar.nectar.merge(&need.copy(life));
         let held = jar.nectar.local_rights(life).max(0);
         jar.held += held - before;
         // Rights are created as time passes, never so that more than the burst is unspent in all.
@@ -376,17 +391,20 @@
             return;
         }
         self.swept = now;
-        let over =
-            |(life, (_, at)): (&Holder, &(String, Instant))| (now.duration_since(*at) > self.span).then_some(*life);
-        let gone: Vec<Holder> = self.lives.iter().filter_map(over).collect();
-        gone.into_iter().for_each(|life| self.write_off(life));
+        let span = self.span;
+        self.write_off(|_, _, answered| now.duration_since(answered) > span);
     }
 
-    fn write_off(&mut self, life: Holder) {
-        self.lives.remove(&life);
-        for jar in self.jars.values_mut() {
-            jar.held -= jar.nectar.local_rights(life).max(0);
-            jar.nectar.void(life);
+    /// What these lives hold is taken as spent.
+    fn write_off(&mut self, gone: impl Fn(Holder, &str, Instant) -> bool) {
+        let lives = self.lives.iter().filter(|(life, (name, at))| gone(**life, name, *at));
+        let lives: Vec<Holder> = lives.map(|(life, _)| *life).collect();
+        for life in lives {
+            self.lives.remove(&life);
+            for jar in self.jars.values_mut() {
+                jar.held -= jar.nectar.local_rights(life).max(0);
+                jar.nectar.void(life);
+            }
         }
     }
 }
