--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -4,6 +4,7 @@
 use super::raft;
 use super::repair::{Digests, Fact};
 use super::views::Card;
+use crate::version::electorate::VoterId;
 use crate::version::ledger::{Command, Mark, Outcome};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -15,7 +16,7 @@
     /// Who I am; the first thing seeds tell each other.
     Hello {
         card: Card,
-        voter: Option<raft::VoterId>,
+        voter: Option<VoterId>,
         founding: bool,
         /// Other daemons that keep the log, as known to the one that greets.
         known: Vec<Card>,
--- a/brood/src/process/raft/election.rs
+++ b/brood/src/process/raft/election.rs
@@ -1,12 +1,19 @@
-//! Elections: pre-votes, candidates, votes, and how a leader stops.
+//! Elections: pre-votes, candidates, votes, and how a lead ends.
 
+use super::replication::Leading;
 use super::samples::{bound, jitter};
-use super::*;
+use super::{Body, Raft, Role};
+use crate::version::electorate::{Voter, VoterId};
+use crate::version::ledger::{Command, Mark};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 /// Bounds of the candidate's timer.
 const CANDIDATE_FLOOR: Duration = Duration::from_millis(20);
 /// Up to 2^this times the candidate timer after candidacies that failed.
 pub(super) const BACKOFF_MAX: u32 = 4;
+/// One that is about to end stands so many times later than the others.
+const LEAVER_LATER: u32 = 4;
 
 impl Raft {
     /// The candidate's timer: at least µ + 2σ of the broadcast times measured here. A vote waits for
@@ -20,21 +27,26 @@
         measured.max(CANDIDATE_FLOOR).min(self.timing.t * 2)
     }
 
-    pub(super) fn arm_candidate(&mut self, now: Instant) {
+    fn arm_candidate(&mut self, now: Instant) {
         let base = self.candidate_timeout() * 2u32.pow(self.backoff);
         self.due = now + jitter(&mut self.rng, base);
     }
 
-    pub(super) fn has_majority(&self, votes: &BTreeSet<VoterId>) -> bool {
-        let voters = self.voters();
-        voters.iter().filter(|v| votes.contains(&v.id)).count() * 2 > voters.len()
+    /// Follower timeouts come from U(T, 2T).
+    pub(super) fn arm_follower(&mut self, now: Instant) {
+        let times = if self.leaving.is_some() { LEAVER_LATER } else { 1 };
+        self.due = now + jitter(&mut self.rng, self.timing.t) * times;
+    }
+
+    fn has_majority(&self, votes: &BTreeSet<VoterId>) -> bool {
+        self.log.electorate().has_majority(|id| votes.contains(&id))
     }
 
     pub(super) fn ask_pre_votes(&mut self, now: Instant) {
         self.role = Role::PreCandidate;
         self.arm_candidate(now);
         self.pre_votes = BTreeSet::from([self.me.id]);
-        let (last_index, last_term) = (self.last_index(), self.last_term());
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for peer in self.others() {
             self.send(peer, Body::PreVote { last_index, last_term });
         }
@@ -50,7 +62,7 @@
         self.votes = BTreeSet::from([self.me.id]);
         self.write_hard();
         self.arm_candidate(now);
-        let (last_index, last_term) = (self.last_index(), self.last_term());
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for peer in self.others() {
             self.send(peer, Body::RequestVote { last_index, last_term });
         }
@@ -59,19 +71,20 @@
         }
     }
 
-    pub(super) fn lead(&mut self, now: Instant) {
+    fn lead(&mut self, now: Instant) {
         self.role = Role::Leader;
         self.leader = Some(self.me);
         self.elections.push(now.duration_since(self.election_began));
-        let next = self.last_index() + 1;
-        self.leading = Leading { first: next, since: Some(now), ..Leading::default() };
+        let next = self.log.last_index() + 1;
+        self.leading = Leading::new(now, next);
         for peer in self.others() {
             self.add_peer(now, peer, next);
         }
         // The electorate goes through the log too, so that a voter which missed some of the founders'
         // greetings learns of it from the others.
-        let founding = self.electorate_index == 0 && self.snapshot.index == 0;
-        let first = if founding { Command::Voters { voters: self.electorate.clone() } } else { Command::Noop };
+        let founding = self.log.electorate_index() == 0 && self.log.snapshot.index == 0;
+        let electorate = self.log.electorate().clone();
+        let first = if founding { Command::Voters { electorate } } else { Command::Noop };
         self.append(now, Mark::default(), first);
     }
 
@@ -83,64 +96,106 @@
             self.write_hard();
         }
         if self.role == Role::Leader {
-            for (token, _) in std::mem::take(&mut self.leading.reads) {
-                self.out.push(Effect::Unreadable(token));
-            }
+            self.drop_reads();
+            self.leading = Leading::default();
         }
         self.role = Role::Follower;
         self.leader = leader;
-        self.due = now + jitter(&mut self.rng, self.timing.t);
+        self.arm_follower(now);
     }
 
-    /// A leader that no majority answers steps down (ours).
-    pub(super) fn check_quorum(&mut self, now: Instant) {
-        let patience = self.timing.t * 2;
-        if self.leading.since.is_some_and(|s| now.duration_since(s) < patience) {
-            return;
+    pub(super) fn pre_vote_asked(&mut self, now: Instant, from: Voter, term: u64, last: (u64, u64)) {
+        // One that still hears its leader does not help to unseat it.
+        let content =
+            self.role == Role::Leader || self.heard_leader.is_some_and(|h| now.duration_since(h) < self.timing.t);
+        let granted = !content && term >= self.term && self.up_to_date(last);
+        self.send(from, Body::PreVoteAnswer { granted });
+        if self.role == Role::Leader && !self.log.electorate().has(from.id) {
+            // It was retired while it was away and does not know.
+            self.admit(now, from, true);
         }
-        let mut heard: BTreeSet<VoterId> = BTreeSet::from([self.me.id]);
-        for (id, peer) in &self.leading.peers {
-            if peer.heard.is_some_and(|h| now.duration_since(h) < patience) {
-                heard.insert(*id);
+    }
+
+    pub(super) fn pre_vote_answered(&mut self, now: Instant, from: Voter, term: u64, granted: bool) {
+        if term > self.term {
+            self.follow(now, term, None);
+        } else if self.role == Role::PreCandidate && granted {
+            self.pre_votes.insert(from.id);
+            if self.has_majority(&self.pre_votes) {
+                self.stand(now);
             }
         }
-        if !self.has_majority(&heard) {
-            self.follow(now, self.term, None);
+    }
+
+    pub(super) fn vote_asked(&mut self, now: Instant, from: Voter, term: u64, last: (u64, u64)) {
+        let granted = term == self.term
+            && matches!(self.role, Role::Follower | Role::PreCandidate)
+            && self.vote.is_none_or(|v| v == from.id)
+            && self.up_to_date(last);
+        if granted {
+            if self.vote.is_none() {
+                self.vote = Some(from.id);
+                self.write_hard();
+            }
+            self.role = Role::Follower;
+            self.arm_follower(now);
         }
+        self.send(from, Body::Vote { granted });
     }
 
-    /// A leader whose disk is silent hands the lead on, if the others have what it has (ours).
-    pub(super) fn check_disk(&mut self, now: Instant) {
-        if self.role != Role::Leader || self.disk_silent(now) <= self.timing.t * 2 {
+    pub(super) fn voted(&mut self, now: Instant, from: Voter, term: u64, granted: bool) {
+        let stood = self.vote == Some(self.me.id) && self.votes.contains(&self.me.id);
+        if !matches!(self.role, Role::Candidate | Role::PreCandidate) || term != self.term || !stood || !granted {
             return;
         }
-        if self.hand_on() {
-            self.follow(now, self.term, None);
+        self.votes.insert(from.id);
+        if self.has_majority(&self.votes) {
+            self.lead(now);
         }
     }
 
-    /// Names a successor that holds the whole log; false if there is none.
-    pub(super) fn hand_on(&mut self) -> bool {
-        let last = self.last_index();
-        let held = |v: &Voter| self.leading.peers.get(&v.id).is_some_and(|p| p.matched >= last);
-        let level: Vec<Voter> = self.others().into_iter().filter(|v| held(v)).collect();
-        let enough = level.len() * 2 > self.electorate.len();
-        if let Some(heir) = level.first().copied().filter(|_| enough) {
-            self.send(heir, Body::Succeed);
-            return true;
-        }
-        false
+    /// The log check on votes; `last`: index and term of the candidate's last entry.
+    fn up_to_date(&self, (last_index, last_term): (u64, u64)) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
     }
 
-    /// This daemon ends: a leader hands its lead on first.
-    pub fn leave(&mut self, now: Instant) {
-        if self.role == Role::Leader && self.hand_on() {
+    /// A leader that no majority answers steps down (ours).
+    pub(super) fn check_quorum(&mut self, now: Instant) {
+        let patience = self.timing.t * 2;
+        if self.leading.since.is_some_and(|s| now.duration_since(s) < patience) {
+            return;
+        }
+        let recent = |h: Instant| now.duration_since(h) < patience;
+        let heard = |id| id == self.me.id || self.leading.peers.get(&id).is_some_and(|p| p.heard.is_some_and(recent));
+        if !self.log.electorate().has_majority(heard) {
             self.follow(now, self.term, None);
-            self.due = now + self.timing.t * 20;
         }
     }
 
-    pub(super) fn up_to_date(&self, last_index: u64, last_term: u64) -> bool {
-        (last_term, last_index) >= (self.last_term(), self.last_index())
+    /// Whether this leader hands its lead on: it is about to end, its disk is silent, or it led the change
+    /// to an electorate that it is not in. It takes no proposals then, so that somebody catches up with it.
+    pub(super) fn hands_on(&self, now: Instant) -> bool {
+        let out = || !self.is_voter() && self.commit >= self.log.electorate_index();
+        let silent = || self.disk_silent(now) > self.timing.t * 2;
+        self.role == Role::Leader && (self.leaving.is_some() || silent() || out())
+    }
+
+    /// Tells a voter that holds the whole log to stand at once; this daemon leads on until that one is
+    /// elected, and says it again with each round.
+    pub(super) fn hand_on(&mut self, now: Instant) {
+        if !self.hands_on(now) {
+            return;
+        }
+        let (last, patience) = (self.log.last_index(), self.timing.t * 2);
+        let level = |v: &&Voter| {
+            let peer = self.leading.peers.get(&v.id);
+            peer.is_some_and(|p| {
+                p.matched >= last && p.leaving.is_none() && p.heard.is_some_and(|h| now.duration_since(h) < patience)
+            })
+        };
+        let voters = &self.log.electorate().voters;
+        if let Some(heir) = voters.iter().filter(|v| v.id != self.me.id).find(level).copied() {
+            self.send(heir, Body::Succeed);
+        }
     }
 }
--- a/brood/src/process/raft/membership.rs
+++ b/brood/src/process/raft/membership.rs
@@ -1,48 +1,70 @@
-//! Who votes: the electorate in the log, learners, and one change at a time.
+//! Who votes: learners that catch up, and electorates that follow one another by joint consensus.
 
-use super::*;
+use super::replication::Peer;
+use super::{Body, Raft, Role};
+use crate::version::electorate::{Voter, VoterId};
+use crate::version::ledger::{Command, Mark};
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
 
 /// A voter silent for this long is replaced where somebody stands ready to take its place.
 const RETIRE_AFTER: Duration = Duration::from_millis(1500);
-/// A newcomer counts as ready while it was heard within this and lacks no more entries than that.
+/// A newcomer counts as ready while it was heard within this.
 const READY_WITHIN: Duration = Duration::from_millis(500);
-const READY_GAP: u64 = 2;
+/// A lap of catching up takes a ready one no longer than this many T.
+const LAP: u32 = 4;
 /// Outsiders silent for this long are no longer sent the log; they ask again.
 const OUTSIDER_GONE: Duration = Duration::from_secs(10);
+/// One that says it is about to end says so again within this many T.
+const LEAVING: u32 = 3;
+/// A new leader hears of those who could take a place within this many T.
+const SETTLED: u32 = 4;
 /// The electorate does not outgrow this.
 const VOTERS_MAX: usize = 9;
 
-impl Raft {
-    /// The electorate: the newest in the log, committed or not.
-    pub fn voters(&self) -> &[Voter] {
-        &self.electorate
+/// How a newcomer catches up: in laps, each to where the log ended when it began. Whoever runs the last one
+/// in a short time lacks no more than what was appended meanwhile, however busy the log is.
+#[derive(Debug)]
+pub(super) struct Lap {
+    began: Instant,
+    target: u64,
+    /// What the last whole lap took.
+    took: Option<Duration>,
+    /// Nothing was missing at the last answer.
+    level: bool,
+}
+
+impl Lap {
+    pub fn new(now: Instant, target: u64) -> Self {
+        Lap { began: now, target, took: None, level: false }
     }
 
-    pub fn is_voter(&self) -> bool {
-        self.votes_here(self.me.id)
+    pub fn reached(&mut self, now: Instant, matched: u64, last: u64) {
+        self.level = matched >= last;
+        if matched >= self.target {
+            self.took = Some(now.duration_since(self.began));
+            (self.began, self.target) = (now, last);
+        }
     }
 
-    pub(super) fn votes_here(&self, id: VoterId) -> bool {
-        self.electorate.iter().any(|v| v.id == id)
+    fn is_short(&self, now: Instant, bound: Duration) -> bool {
+        let short = self.took.is_some_and(|t| t <= bound) && now.duration_since(self.began) <= bound;
+        self.level || short
     }
+}
 
-    /// To be called whenever the log's end or the snapshot changed.
-    pub(super) fn find_electorate(&mut self) {
-        let found = self.log.iter().enumerate().rev().find_map(|(at, e)| match &e.command {
-            Command::Voters { voters } => Some((self.snapshot.index + 1 + at as u64, voters.clone())),
-            _ => None,
-        });
-        (self.electorate_index, self.electorate) = found.unwrap_or((0, self.snapshot.voters.clone()));
+impl Raft {
+    /// Those who vote, with those who did before while a change is under way.
+    pub fn voters(&self) -> Vec<Voter> {
+        self.log.electorate().all()
     }
 
-    /// How many voters must hold an entry durably before it counts as committed: a majority, and more
-    /// than may be lost at once.
-    pub(super) fn quorum(&self) -> usize {
-        (self.electorate.len() / 2).max(self.timing.tolerance) + 1
+    pub fn is_voter(&self) -> bool {
+        self.log.electorate().has(self.me.id)
     }
 
     pub(super) fn others(&self) -> Vec<Voter> {
-        self.electorate.iter().copied().filter(|v| v.id != self.me.id).collect()
+        self.voters().into_iter().filter(|v| v.id != self.me.id).collect()
     }
 
     /// A daemon outside the electorate is sent the log, and may be admitted later.
@@ -51,7 +73,7 @@
             return;
         }
         if !self.leading.peers.contains_key(&from.id) {
-            let next = self.last_index() + 1;
+            let next = self.log.last_index() + 1;
             self.add_peer(now, from, next);
             self.replicate(now, from.id, true);
         }
@@ -62,73 +84,165 @@
         self.settle_membership(now);
     }
 
-    /// One step towards the electorate that should be: all that stand ready, in odd numbers, and
-    /// nobody who is gone for good. One change at a time, each committed before the next, so that
-    /// majorities of consecutive electorates overlap; `docs/raft.md` tells why this is safe.
+    /// What a daemon outside the electorate sends to be sent the log.
+    pub fn join(&mut self, to: Ipv4Addr, voter: bool) {
+        self.send(Voter { id: 0, ip: to }, Body::Join { voter });
+    }
+
+    /// One step towards the electorate that should be. The next one is begun only when the one before it and
+    /// an entry of the own term are committed; `docs/raft.md` tells why this is safe.
     pub(super) fn settle_membership(&mut self, now: Instant) {
-        if self.role != Role::Leader || self.commit < self.leading.first || self.commit < self.electorate_index {
+        let settled = self.commit >= self.leading.first && self.commit >= self.log.electorate_index();
+        if self.role != Role::Leader || !settled || self.hands_on(now) {
             return;
         }
-        let voters = self.electorate.clone();
-        let votes = |id: &VoterId| voters.iter().any(|v| v.id == *id);
-        let silent = |p: &Peer| now.duration_since(p.heard.unwrap_or(p.since));
-        self.leading.peers.retain(|id, p| votes(id) || silent(p) < OUTSIDER_GONE);
-        let (peers, commit) = (&self.leading.peers, self.commit);
-        let outside = || peers.iter().filter(|(id, p)| p.wants && !votes(id));
-        let ready: Vec<Voter> = outside()
-            .filter(|(_, p)| {
-                p.heard.is_some_and(|h| now.duration_since(h) < READY_WITHIN) && p.matched + READY_GAP >= commit
-            })
-            .map(|(id, p)| Voter { id: *id, ip: p.ip })
-            .collect();
-        // Two identities at one address: the disk there is new, and the voter that was on it is no more.
-        let voter_silence = |v: &Voter| peers.get(&v.id).map_or(Duration::ZERO, &silent);
-        let wiped = voters.iter().find(|v| {
-            voter_silence(v) > self.timing.t * 2 && outside().any(|(_, p)| p.ip == v.ip && p.heard.is_some())
-        });
-        let longest = voters
-            .iter()
-            .filter(|v| v.id != self.me.id)
-            .max_by_key(|v| voter_silence(v))
-            .filter(|v| voter_silence(v) > RETIRE_AFTER);
-        let even = voters.len().is_multiple_of(2);
-        let full = voters.len() >= VOTERS_MAX;
-        let spare = voters.len() > 2 * self.timing.tolerance + 1;
-        let newcomer = ready.iter().find(|r| voters.iter().all(|v| v.ip != r.ip));
-        let retired = match (wiped, longest) {
-            (Some(old), _) => Some(old),
-            (None, Some(old)) if !even && (ready.len() == 1 || (full && !ready.is_empty())) => Some(old),
-            (None, Some(old)) if even && ready.is_empty() && spare => Some(old),
-            _ => None,
-        };
-        let next: Vec<Voter> = if let Some(old) = retired {
-            voters.iter().copied().filter(|v| v.id != old.id).collect()
-        } else if let Some(new) = newcomer.filter(|_| (even || ready.len() > 1) && !full) {
-            let mut next = voters.clone();
-            next.push(*new);
-            next.sort_unstable();
-            next
+        let electorate = self.log.electorate().clone();
+        self.leading.peers.retain(|id, p| electorate.has(*id) || silence(p, now) < OUTSIDER_GONE);
+        let next = if electorate.is_joint() {
+            crate::version::electorate::Electorate::of(electorate.voters)
         } else {
-            return;
+            match self.wanted_voters(now) {
+                Some(voters) => electorate.towards(voters),
+                None => return,
+            }
         };
-        if let Some(old) = retired.map(|o| o.id) {
-            self.leading.peers.remove(&old);
+        self.append(now, Mark::default(), Command::Voters { electorate: next });
+    }
+
+    /// The voters that there should be, if others than there are.
+    fn wanted_voters(&self, now: Instant) -> Option<Vec<Voter>> {
+        let voters = &self.log.electorate().voters;
+        let peers = &self.leading.peers;
+        let votes = |id: VoterId| voters.iter().any(|v| v.id == id);
+        let outside = || peers.iter().filter(|(id, p)| p.wants && !votes(**id));
+        let lap = self.timing.t * LAP;
+        let ready = outside().filter(|(_, p)| {
+            p.heard.is_some_and(|h| now.duration_since(h) < READY_WITHIN)
+                && !self.is_leaving(p, now)
+                && p.lap.is_short(now, lap)
+        });
+        let mut ready: Vec<Voter> = ready.map(|(id, p)| Voter { id: *id, ip: p.ip }).collect();
+
+        // Those who are gone for good, about to end, or silent; the surest first.
+        let mut goers: Vec<(u8, Duration, Voter)> = Vec::new();
+        for voter in voters.iter().filter(|v| v.id != self.me.id) {
+            let Some(peer) = peers.get(&voter.id) else { continue };
+            let silent = silence(peer, now);
+            // Two identities at one address: the disk there is new, and the voter that was on it is no more.
+            let wiped = silent > self.timing.t * 2 && outside().any(|(_, p)| p.ip == voter.ip && p.heard.is_some());
+            let rank = match () {
+                () if wiped => 0,
+                () if self.is_leaving(peer, now) => 1,
+                () if silent > RETIRE_AFTER => 2,
+                () => continue,
+            };
+            goers.push((rank, Duration::MAX - silent, *voter));
+        }
+        goers.sort_unstable();
+        let mut goers: Vec<Voter> = goers.into_iter().map(|(_, _, v)| v).collect();
+
+        let mut next = voters.clone();
+        // Each in the place of one that goes: at its own address first.
+        let mut left = Vec::new();
+        for old in goers.drain(..) {
+            let others: Vec<Ipv4Addr> = next.iter().filter(|v| v.id != old.id).map(|v| v.ip).collect();
+            let fits = |r: &Voter| !others.contains(&r.ip);
+            let at = ready.iter().position(|r| r.ip == old.ip).or_else(|| ready.iter().position(fits));
+            match at {
+                Some(at) => {
+                    next.retain(|v| v.id != old.id);
+                    next.push(ready.remove(at));
+                }
+                None => left.push(old),
+            }
         }
-        self.append(now, Mark::default(), Command::Voters { voters: next });
+        // Odd sizes bear as much as the next even one.
+        ready.retain(|r| next.iter().all(|v| v.ip != r.ip));
+        let mut ready = ready.into_iter();
+        loop {
+            let wanted = if next.len().is_multiple_of(2) { 1 } else { 2 };
+            if ready.len() < wanted || next.len() + wanted > VOTERS_MAX {
+                break;
+            }
+            next.extend(ready.by_ref().take(wanted));
+        }
+        // Nobody goes without another in the place, unless the tolerance needs fewer.
+        let needed = 2 * self.timing.tolerance + 1;
+        let mut left = left.into_iter();
+        loop {
+            let spared = if next.len().is_multiple_of(2) { 1 } else { 2 };
+            if left.len() < spared || next.len() < needed + spared {
+                break;
+            }
+            let gone: Vec<VoterId> = left.by_ref().take(spared).map(|v| v.id).collect();
+            next.retain(|v| !gone.contains(&v.id));
+        }
+        next.sort_unstable();
+        (next != *voters).then_some(next)
     }
 
-    /// What a daemon outside the electorate sends to be sent the log.
-    pub fn join(&mut self, to: Ipv4Addr, voter: bool) {
-        self.send(Voter { id: 0, ip: to }, Body::Join { voter });
+    // ---- leaving ----------------------------------------------------------------------------
+
+    fn is_leaving(&self, peer: &Peer, now: Instant) -> bool {
+        peer.leaving.is_some_and(|at| now.duration_since(at) < self.timing.t * LEAVING)
+    }
+
+    /// This daemon is about to end: a leader takes no more proposals, lets another catch up and hands on;
+    /// then, and otherwise, it asks to be taken out of the electorate. [`Raft::may_end`] tells when.
+    pub fn leave(&mut self, now: Instant) {
+        self.clock = now;
+        if self.leaving.is_none() {
+            self.leaving = Some(now);
+            self.ask_to_leave(now);
+        }
+    }
+
+    /// Whether others can go on without this daemon as well as they ever will.
+    pub fn may_end(&self) -> bool {
+        let alone = self.others().is_empty();
+        self.leaving.is_some() && (self.left || alone || (!self.is_voter() && self.role != Role::Leader))
     }
 
-    /// The very first electorate, fixed before the first election and written with the identity.
-    pub fn found(&mut self, voters: Vec<Voter>) {
-        if self.last_index() == 0 && self.snapshot.voters.is_empty() {
-            self.snapshot.voters = voters;
-            self.find_electorate();
-            let snapshot = Some(self.snapshot.clone());
-            self.write(Write { snapshot, ..Write::default() });
+    pub(super) fn ask_to_leave(&mut self, now: Instant) {
+        self.leave_due = Some(now + self.timing.t / 2);
+        if self.role == Role::Leader {
+            self.hand_on(now);
+        } else if let Some(leader) = self.leader.filter(|l| l.id != self.me.id) {
+            self.send(leader, Body::Leave);
         }
     }
+
+    /// A voter or learner says that it is about to end. It may, once no change that takes it out is under
+    /// way or to be expected, and what is committed is on more disks than may be lost without its own.
+    pub(super) fn leave_asked(&mut self, now: Instant, from: Voter) {
+        if self.role != Role::Leader {
+            return;
+        }
+        if let Some(peer) = self.leading.peers.get_mut(&from.id) {
+            (peer.leaving, peer.heard) = (Some(now), Some(now));
+        }
+        self.settle_membership(now);
+        let electorate = self.log.electorate();
+        let under_way = self.commit < self.log.electorate_index() || electorate.is_joint();
+        let young = self.leading.since.is_none_or(|s| now.duration_since(s) < self.timing.t * SETTLED);
+        let live = |p: &Peer| p.heard.is_some_and(|h| now.duration_since(h) < self.timing.t * 2);
+        let commit = self.commit;
+        let others = || electorate.voters.iter().filter(|v| v.id != from.id);
+        let holds = |v: &&Voter| match v.id == self.me.id {
+            true => self.durable >= commit,
+            false => self.leading.peers.get(&v.id).is_some_and(|p| p.matched >= commit),
+        };
+        let lives = |v: &&Voter| v.id == self.me.id || self.leading.peers.get(&v.id).is_some_and(live);
+        // Where fewer are left than that, all of them.
+        let copies = (self.timing.tolerance + 1).min(others().filter(lives).count());
+        let safe = others().filter(holds).count() >= copies;
+        if !under_way && safe && (!electorate.has(from.id) || !young) {
+            self.send(from, Body::Left);
+        }
+    }
+}
+
+/// How long a peer has not been heard.
+fn silence(peer: &Peer, now: Instant) -> Duration {
+    now.duration_since(peer.heard.unwrap_or(peer.since))
 }
--- a/brood/src/process/raft/mod.rs
+++ b/brood/src/process/raft/mod.rs
@@ -4,6 +4,7 @@
 //! the [`Effect::Write`] that it rests on, and is let out only once that write is durable.
 
 mod election;
+mod log;
 mod membership;
 mod replication;
 mod samples;
@@ -12,26 +13,19 @@
 mod wire;
 
 pub use stored::{Entry, Snapshot, Stored, Write};
-pub use wire::{Body, Message};
+pub use wire::{Body, Message, SnapshotId};
 
-use crate::version::ledger::{Command, Mark};
+use crate::version::electorate::{Voter, VoterId};
 use election::BACKOFF_MAX;
-use replication::{Leading, Peer};
+use log::Log;
+use replication::Leading;
 use samples::{jitter, keep};
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use snapshot::{Incoming, Packed};
+use std::collections::{BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// An identity is drawn when a disk is first used, so a daemon that lost its disk is another voter.
-pub type VoterId = u64;
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Voter {
-    pub id: VoterId,
-    pub ip: Ipv4Addr,
-}
-
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
     /// To be made durable; answered by [`Raft::durable`] with the same number.
@@ -70,13 +64,11 @@
     timing: Timing,
     term: u64,
     vote: Option<VoterId>,
-    snapshot: Snapshot,
-    log: VecDeque<Entry>,
-    /// The newest electorate in the log, committed or not, and where it stands.
-    electorate: Vec<Voter>,
-    electorate_index: u64,
+    log: Log,
     commit: u64,
     applied: u64,
+    /// Bytes of the entries applied since the last snapshot.
+    fresh_bytes: usize,
     /// What is applied here was current at some moment of this process's life; after a start it is only
     /// what the last snapshot held.
     current: bool,
@@ -103,6 +95,13 @@
     /// How long elections took that this daemon won.
     pub elections: Vec<Duration>,
     leading: Leading,
+    /// The snapshot as it is sent, once somebody wanted it.
+    packed: Option<Rc<Packed>>,
+    incoming: Option<Incoming>,
+    /// This daemon is about to end, since then; when it asks the leader again; and whether it was let go.
+    leaving: Option<Instant>,
+    leave_due: Option<Instant>,
+    left: bool,
     rng: fastrand::Rng,
     out: Vec<Effect>,
 }
@@ -110,21 +109,20 @@
 impl Raft {
     pub fn new(now: Instant, me: Ipv4Addr, timing: Timing, stored: Stored, mut rng: fastrand::Rng) -> Self {
         let due = now + jitter(&mut rng, timing.t);
-        let snapshot = stored.snapshot;
-        let last = snapshot.index + stored.log.len() as u64;
+        let (id, term, vote) = (stored.id, stored.term, stored.vote);
+        let log = Log::new(stored);
+        let covered = log.snapshot.index;
         let mut raft = Raft {
-            me: Voter { id: stored.id, ip: me },
+            me: Voter { id, ip: me },
             timing,
-            term: stored.term,
-            vote: stored.vote,
-            commit: snapshot.index,
-            applied: snapshot.index,
-            snapshot,
-            log: stored.log.into(),
-            electorate: Vec::new(),
-            electorate_index: 0,
+            term,
+            vote,
+            commit: covered,
+            applied: covered,
+            fresh_bytes: 0,
             current: false,
-            durable: last,
+            durable: log.last_index(),
+            log,
             writes: 0,
             hard_write: 0,
             writing: VecDeque::new(),
@@ -142,12 +140,16 @@
             clock: now,
             elections: Vec::new(),
             leading: Leading::default(),
+            packed: None,
+            incoming: None,
+            leaving: None,
+            leave_due: None,
+            left: false,
             rng,
             out: Vec::new(),
         };
-        raft.find_electorate();
-        if raft.snapshot.index > 0 {
-            raft.out.push(Effect::Restore(raft.snapshot.clone()));
+        if covered > 0 {
+            raft.out.push(Effect::Restore(raft.log.snapshot.clone()));
         }
         raft
     }
@@ -155,39 +157,29 @@
     pub fn me(&self) -> Voter {
         self.me
     }
-
     pub fn term(&self) -> u64 {
         self.term
     }
-
     pub fn role(&self) -> Role {
         self.role
     }
-
     pub fn leader(&self) -> Option<Voter> {
         self.leader
     }
-
     pub fn commit(&self) -> u64 {
         self.commit
     }
-
     pub fn last_index(&self) -> u64 {
-        self.snapshot.index + self.log.len() as u64
+        self.log.last_index()
+    }
+    /// The snapshot's index, and how many entries are kept, also from before it.
+    pub fn kept(&self) -> (u64, usize) {
+        (self.log.snapshot.index, self.log.len())
     }
-
     pub fn effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.out)
     }
 
-    /// Whether a majority has answered a round begun within the confirmation span, and an entry of
-    /// this term is committed: only then does this daemon act as the leader towards others.
-    pub fn confirmed(&self, now: Instant) -> bool {
-        self.role == Role::Leader
-            && self.commit >= self.leading.first
-            && self.leading.confirmed.is_some_and(|t| now < t + self.timing.confirm)
-    }
-
     /// When this daemon began to lead.
     pub fn leading_since(&self) -> Option<Instant> {
         (self.role == Role::Leader).then_some(self.leading.since).flatten()
@@ -201,19 +193,7 @@
 
     /// The entry at an index, while it is not compacted away.
     pub fn entry(&self, index: u64) -> Option<&Entry> {
-        self.log.get(index.checked_sub(self.snapshot.index + 1)? as usize)
-    }
-
-    fn term_at(&self, index: u64) -> Option<u64> {
-        if index == self.snapshot.index {
-            return Some(self.snapshot.term);
-        }
-        let at = index.checked_sub(self.snapshot.index + 1)?;
-        self.log.get(at as usize).map(|e| e.term)
-    }
-
-    fn last_term(&self) -> u64 {
-        self.log.back().map_or(self.snapshot.term, |e| e.term)
+        self.log.entry(index)
     }
 
     fn write(&mut self, write: Write) {
@@ -221,7 +201,7 @@
         if write.hard.is_some() {
             self.hard_write = self.writes;
         }
-        self.writing.push_back((self.writes, self.last_index()));
+        self.writing.push_back((self.writes, self.log.last_index()));
         self.sync_began.push_back((self.writes, self.clock));
         self.out.push(Effect::Write(self.writes, write));
     }
@@ -238,13 +218,23 @@
         self.write(Write { hard, ..Write::default() });
     }
 
+    /// What stood from this index on is not in the log any more, also where it is being written.
+    fn not_durable_from(&mut self, index: u64) {
+        self.durable = self.durable.min(index - 1);
+        for (_, last) in &mut self.writing {
+            *last = (*last).min(index - 1);
+        }
+    }
+
     fn send(&mut self, to: Voter, body: Body) {
         let after = match body {
             // A vote, or word of what is in the log here, rests on all that was written before.
-            Body::RequestVote { .. } | Body::Vote { .. } | Body::Appended { .. } => self.writes,
+            Body::RequestVote { .. } | Body::Vote { .. } | Body::Appended { .. } | Body::SnapshotTaken { .. } => {
+                self.writes
+            }
             // A leader's messages rest on its term alone: it counts itself only for what is durable.
-            Body::AppendEntries { .. } | Body::InstallSnapshot { .. } | Body::Succeed => self.hard_write,
-            Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Join { .. } => 0,
+            Body::AppendEntries { .. } | Body::InstallSnapshot { .. } | Body::Succeed | Body::Left => self.hard_write,
+            Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Join { .. } | Body::Leave => 0,
         };
         let message = Message { from: self.me, to: to.id, term: self.term, body };
         self.out.push(Effect::Send(to.ip, message, after));
@@ -257,20 +247,24 @@
 
     /// The next moment at which [`Raft::tick`] has something to do.
     pub fn next_due(&self) -> Instant {
-        match self.role {
+        let due = match self.role {
             Role::Leader => self.leading.beat_due.unwrap_or(self.due),
             _ => self.due,
-        }
+        };
+        self.leave_due.map_or(due, |l| due.min(l))
     }
 
     pub fn tick(&mut self, now: Instant) {
         self.clock = now;
+        if self.leave_due.is_some_and(|d| now >= d) {
+            self.ask_to_leave(now);
+        }
         if self.role == Role::Leader {
             if self.leading.beat_due.is_none_or(|d| now >= d) {
                 self.check_quorum(now);
-                self.check_disk(now);
                 if self.role == Role::Leader {
                     self.begin_round(now);
+                    self.hand_on(now);
                     self.settle_membership(now);
                 }
             }
@@ -318,9 +312,9 @@
             self.writing.pop_front();
             self.durable = last;
         }
-        self.durable = self.durable.min(self.last_index());
+        self.durable = self.durable.min(self.log.last_index());
         if self.role == Role::Leader {
-            self.advance(now);
+            self.advance();
         }
     }
 
@@ -330,34 +324,14 @@
         if to != self.me.id && !matches!(body, Body::Join { .. }) {
             return;
         }
+        // These raise nobody's term.
         match body {
             Body::PreVote { last_index, last_term } => {
-                // One that still hears its leader does not help to unseat it.
-                let content = self.role == Role::Leader
-                    || self.heard_leader.is_some_and(|h| now.duration_since(h) < self.timing.t);
-                let granted = !content && term >= self.term && self.up_to_date(last_index, last_term);
-                self.send(from, Body::PreVoteAnswer { granted });
-                if self.role == Role::Leader && !self.votes_here(from.id) {
-                    // It was retired while it was away and does not know.
-                    self.admit(now, from, true);
-                }
-                return;
-            }
-            Body::PreVoteAnswer { granted } => {
-                if term > self.term {
-                    self.follow(now, term, None);
-                } else if self.role == Role::PreCandidate && granted {
-                    self.pre_votes.insert(from.id);
-                    if self.has_majority(&self.pre_votes) {
-                        self.stand(now);
-                    }
-                }
-                return;
-            }
-            Body::Join { voter } => {
-                self.admit(now, from, voter);
-                return;
+                return self.pre_vote_asked(now, from, term, (last_index, last_term));
             }
+            Body::PreVoteAnswer { granted } => return self.pre_vote_answered(now, from, term, granted),
+            Body::Join { voter } => return self.admit(now, from, voter),
+            Body::Leave => return self.leave_asked(now, from),
             _ => {}
         }
         if term > self.term {
@@ -365,33 +339,8 @@
             self.follow(now, term, leads.then_some(from));
         }
         match body {
-            Body::RequestVote { last_index, last_term } => {
-                let granted = term == self.term
-                    && matches!(self.role, Role::Follower | Role::PreCandidate)
-                    && self.vote.is_none_or(|v| v == from.id)
-                    && self.up_to_date(last_index, last_term);
-                if granted {
-                    if self.vote.is_none() {
-                        self.vote = Some(from.id);
-                        self.write_hard();
-                    }
-                    self.role = Role::Follower;
-                    self.due = now + jitter(&mut self.rng, self.timing.t);
-                }
-                self.send(from, Body::Vote { granted });
-            }
-            Body::Vote { granted } => {
-                let stood = self.vote == Some(self.me.id) && self.votes.contains(&self.me.id);
-                if !matches!(self.role, Role::Candidate | Role::PreCandidate) || term != self.term || !stood {
-                    return;
-                }
-                if granted {
-                    self.votes.insert(from.id);
-                    if self.has_majority(&self.votes) {
-                        self.lead(now);
-                    }
-                }
-            }
+            Body::RequestVote { last_index, last_term } => self.vote_asked(now, from, term, (last_index, last_term)),
+            Body::Vote { granted } => self.voted(now, from, term, granted),
             Body::AppendEntries { round, prev_index, prev_term, entries, commit } => {
                 if term < self.term {
                     self.send(from, Body::Appended { round, success: false, index: 0 });
@@ -401,36 +350,44 @@
                 let (success, index) = self.take(prev_index, prev_term, entries);
                 if success {
                     self.commit_to(commit.min(index));
-                    self.current |= self.commit >= commit && self.term_at(self.commit) == Some(self.term);
+                    self.current |= self.commit >= commit && self.log.term_at(self.commit) == Some(self.term);
                 }
                 self.send(from, Body::Appended { round, success, index });
             }
-            Body::InstallSnapshot { round, snapshot } => {
+            Body::InstallSnapshot { round, of, offset, bytes } => {
                 if term < self.term {
                     return;
                 }
                 self.hear(now, from);
-                if snapshot.index > self.commit {
-                    self.install(snapshot);
-                }
-                let index = self.commit;
-                self.send(from, Body::Appended { round, success: true, index });
+                let answer = match self.take_piece(of, offset, &bytes) {
+                    Some(offset) => Body::SnapshotTaken { round, of, offset },
+                    None => Body::Appended { round, success: true, index: self.commit },
+                };
+                self.send(from, answer);
             }
-            Body::Appended { round, success, index } => self.appended(now, from, term, round, success, index),
-            Body::Succeed => {
-                if term == self.term && self.role == Role::Follower && self.is_voter() {
-                    self.election_began = now;
-                    self.stand(now);
-                }
+            Body::Appended { round, success, index } if self.leads(term) => {
+                self.appended(now, from, round, success, index)
+            }
+            Body::SnapshotTaken { round, of, offset } if self.leads(term) => {
+                self.snapshot_taken(now, from, round, of, offset)
             }
-            Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Join { .. } => {}
+            Body::Succeed if term == self.term && self.role == Role::Follower && self.is_voter() => {
+                self.election_began = now;
+                self.stand(now);
+            }
+            Body::Left if term == self.term => self.left = self.leaving.is_some(),
+            _ => {}
         }
     }
 
+    fn leads(&self, term: u64) -> bool {
+        self.role == Role::Leader && term == self.term
+    }
+
     fn hear(&mut self, now: Instant, leader: Voter) {
         self.role = Role::Follower;
         self.leader = Some(leader);
         self.heard_leader = Some(now);
-        self.due = now + jitter(&mut self.rng, self.timing.t);
+        self.arm_follower(now);
     }
 }
--- a/brood/src/process/raft/replication.rs
+++ b/brood/src/process/raft/replication.rs
@@ -1,66 +1,119 @@
-//! The leader's side of the log: rounds, batches, confirmation, commit; and the follower's append.
+//! The leader's side of the log: rounds, batches, confirmation and commit; and the follower's append.
 
+use super::membership::Lap;
 use super::samples::keep;
-use super::*;
+use super::snapshot::Sending;
+use super::{Body, Effect, Entry, Raft, Role, Write};
+use crate::version::electorate::{Voter, VoterId};
+use crate::version::ledger::{Command, Mark};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::Ipv4Addr;
+use std::time::Instant;
 
 /// Entries in one message, and its rough size.
 const BATCH_ENTRIES: usize = 64;
 const BATCH_BYTES: usize = 512 * 1024;
+/// A leader takes no proposal while so many bytes of its log are not committed.
+const OPEN_BYTES: usize = 8 << 20;
+/// What is on its way and unanswered for this many T is sent again, whatever else was answered.
+const UNANSWERED: u32 = 4;
 /// Rounds remembered for confirmation.
 const ROUNDS: usize = 64;
 
+/// What a leader knows of another daemon that it sends the log to.
 #[derive(Debug)]
 pub(super) struct Peer {
-    pub(super) ip: Ipv4Addr,
+    pub ip: Ipv4Addr,
     /// Sent the log since then.
-    pub(super) since: Instant,
+    pub since: Instant,
     /// Outside the electorate, it asked to be admitted.
-    pub(super) wants: bool,
-    pub(super) next: u64,
-    pub(super) matched: u64,
+    pub wants: bool,
+    /// It said then that it is about to end.
+    pub leaving: Option<Instant>,
+    pub next: u64,
+    pub matched: u64,
     /// Newest round answered.
-    pub(super) round: u64,
-    pub(super) heard: Option<Instant>,
-    /// Entries are on their way since then; none more until they are answered or this is old.
-    pub(super) flying: Option<Instant>,
+    pub round: u64,
+    pub heard: Option<Instant>,
+    /// Entries on their way; no more until they are answered or seem lost.
+    pub flying: Option<Flying>,
+    /// A snapshot on its way.
+    pub sending: Option<Sending>,
+    /// How a newcomer catches up.
+    pub lap: Lap,
+}
+
+/// Entries on their way to a peer: the round of their message, the last of them, and since when.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Flying {
+    round: u64,
+    last: u64,
+    since: Instant,
 }
 
 #[derive(Debug, Default)]
 pub(super) struct Leading {
-    pub(super) peers: BTreeMap<VoterId, Peer>,
-    pub(super) rounds: VecDeque<(u64, Instant)>,
-    pub(super) round: u64,
-    pub(super) beat_due: Option<Instant>,
-    pub(super) confirmed: Option<Instant>,
-    pub(super) confirmed_round: u64,
-    pub(super) reads: Vec<(u64, u64)>,
+    pub peers: BTreeMap<VoterId, Peer>,
+    rounds: VecDeque<(u64, Instant)>,
+    pub round: u64,
+    pub beat_due: Option<Instant>,
+    pub confirmed: Option<Instant>,
+    confirmed_round: u64,
+    reads: Vec<(u64, u64)>,
     /// Index of this term's first entry.
-    pub(super) first: u64,
-    pub(super) since: Option<Instant>,
+    pub first: u64,
+    pub since: Option<Instant>,
+}
+
+impl Leading {
+    /// A lead that begins now, with its first entry at this index.
+    pub fn new(now: Instant, first: u64) -> Self {
+        Leading { first, since: Some(now), ..Leading::default() }
+    }
 }
 
 impl Raft {
     pub(super) fn add_peer(&mut self, now: Instant, peer: Voter, next: u64) {
-        let fresh =
-            Peer { ip: peer.ip, since: now, wants: false, next, matched: 0, round: 0, heard: None, flying: None };
+        let fresh = Peer {
+            ip: peer.ip,
+            since: now,
+            wants: false,
+            leaving: None,
+            next,
+            matched: 0,
+            round: 0,
+            heard: None,
+            flying: None,
+            sending: None,
+            lap: Lap::new(now, next - 1),
+        };
         self.leading.peers.insert(peer.id, fresh);
     }
 
-    /// Takes a proposal; only a leader does.
+    /// Takes a proposal and gives its index; only a leader does, and not while it hands its lead on or
+    /// has too much that is not committed. One that is in the log undecided is not taken twice.
     pub fn propose(&mut self, now: Instant, mark: Mark, command: Command) -> Option<u64> {
         self.clock = now;
         if self.role != Role::Leader {
             return None;
         }
+        let open = || self.log.from(self.commit + 1);
+        if mark.serial != 0
+            && let Some(at) = open().position(|e| e.mark == mark)
+        {
+            return Some(self.commit + 1 + at as u64);
+        }
+        if self.hands_on(now) || open().map(Entry::size).sum::<usize>() > OPEN_BYTES {
+            return None;
+        }
         Some(self.append(now, mark, command))
     }
 
     pub(super) fn append(&mut self, now: Instant, mark: Mark, command: Command) -> u64 {
         let entry = Entry { term: self.term, mark, command };
-        self.log.push_back(entry.clone());
-        let index = self.last_index();
-        if let Command::Voters { voters } = &entry.command {
-            (self.electorate_index, self.electorate) = (index, voters.clone());
+        let elects = matches!(entry.command, Command::Voters { .. });
+        let index = self.log.push(entry.clone());
+        if elects {
             for voter in self.others() {
                 if !self.leading.peers.contains_key(&voter.id) {
                     self.add_peer(now, voter, index);
@@ -95,39 +148,33 @@
             self.replicate(now, id, true);
         }
         self.confirm_round(now);
-        self.advance(now);
+        self.advance();
     }
 
+    /// Sends a peer what it lacks, as far as nothing is on its way already; `beat`: something in any case.
     pub(super) fn replicate(&mut self, now: Instant, id: VoterId, beat: bool) {
-        let round = self.leading.round;
-        let t = self.timing.t;
+        let (round, commit) = (self.leading.round, self.commit);
+        let (base_index, base_term) = self.log.base();
         let Some(peer) = self.leading.peers.get_mut(&id) else { return };
         let to = Voter { id, ip: peer.ip };
-        let clear = peer.flying.is_none_or(|since| now.duration_since(since) > t);
-        let (next, next_prev) = (peer.next, peer.next - 1);
-        if next_prev < self.snapshot.index {
-            if clear {
-                peer.flying = Some(now);
-                let snapshot = self.snapshot.clone();
-                self.send(to, Body::InstallSnapshot { round, snapshot });
-            } else if beat {
-                let body = Body::AppendEntries {
-                    round,
-                    prev_index: self.snapshot.index,
-                    prev_term: self.snapshot.term,
-                    entries: Vec::new(),
-                    commit: self.commit,
-                };
-                self.send(to, body);
+        let patience = self.timing.t * UNANSWERED;
+        if peer.flying.is_some_and(|f| now.duration_since(f.since) > patience) {
+            peer.flying = None;
+        }
+        if peer.next <= base_index {
+            if beat {
+                let (prev_index, prev_term) = (base_index, base_term);
+                self.send(to, Body::AppendEntries { round, prev_index, prev_term, entries: Vec::new(), commit });
             }
+            self.send_snapshot(now, to);
             return;
         }
+        let prev_index = peer.next - 1;
         let mut entries = Vec::new();
-        if clear {
-            let from = (next - self.snapshot.index - 1) as usize;
+        if peer.flying.is_none() {
             let mut bytes = 0;
-            for entry in self.log.iter().skip(from).take(BATCH_ENTRIES) {
-                bytes += if let Command::Configure { raw, .. } = &entry.command { raw.len() } else { 128 };
+            for entry in self.log.from(peer.next).take(BATCH_ENTRIES) {
+                bytes += entry.size();
                 entries.push(entry.clone());
                 if bytes > BATCH_BYTES {
                     break;
@@ -138,27 +185,26 @@
             return;
         }
         if !entries.is_empty() {
-            peer.flying = Some(now);
+            peer.flying = Some(Flying { round, last: prev_index + entries.len() as u64, since: now });
         }
-        let prev_term = self.term_at(next_prev).unwrap_or(0);
-        let body = Body::AppendEntries { round, prev_index: next_prev, prev_term, entries, commit: self.commit };
-        self.send(to, body);
+        let prev_term = self.log.term_at(prev_index).unwrap_or(0);
+        self.send(to, Body::AppendEntries { round, prev_index, prev_term, entries, commit });
     }
 
-    pub(super) fn confirm_round(&mut self, now: Instant) {
-        let voters = &self.electorate;
-        let mut rounds: Vec<u64> = voters
-            .iter()
-            .map(|v| {
-                if v.id == self.me.id {
-                    self.leading.round
-                } else {
-                    self.leading.peers.get(&v.id).map_or(0, |p| p.round)
-                }
-            })
-            .collect();
-        rounds.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&round) = rounds.get(voters.len() / 2) else { return };
+    /// Whether a majority has answered a round begun within the confirmation span, and an entry of
+    /// this term is committed: only then does this daemon act as the leader towards others.
+    pub fn confirmed(&self, now: Instant) -> bool {
+        self.role == Role::Leader
+            && self.commit >= self.leading.first
+            && self.leading.confirmed.is_some_and(|t| now < t + self.timing.confirm)
+    }
+
+    fn confirm_round(&mut self, now: Instant) {
+        let answered = |id| match id == self.me.id {
+            true => self.leading.round,
+            false => self.leading.peers.get(&id).map_or(0, |p| p.round),
+        };
+        let round = self.log.electorate().reached(0, answered);
         if round <= self.leading.confirmed_round {
             return;
         }
@@ -172,7 +218,7 @@
         self.settle_reads();
     }
 
-    pub(super) fn settle_reads(&mut self) {
+    fn settle_reads(&mut self) {
         if self.commit < self.leading.first {
             return;
         }
@@ -188,23 +234,21 @@
         self.leading.reads = reads;
     }
 
-    /// Commits what a majority holds durably, and only by way of an entry of this term.
-    pub(super) fn advance(&mut self, _now: Instant) {
-        let voters = &self.electorate;
-        let mut held: Vec<u64> =
-            voters
-                .iter()
-                .map(|v| {
-                    if v.id == self.me.id {
-                        self.durable
-                    } else {
-                        self.leading.peers.get(&v.id).map_or(0, |p| p.matched)
-                    }
-                })
-                .collect();
-        held.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&index) = held.get(self.quorum() - 1) else { return };
-        if index > self.commit && self.term_at(index) == Some(self.term) {
+    pub(super) fn drop_reads(&mut self) {
+        for (_, token) in std::mem::take(&mut self.leading.reads) {
+            self.out.push(Effect::Unreadable(token));
+        }
+    }
+
+    /// Commits what a majority, and more than the tolerance, hold durably, and only by way of an entry
+    /// of this term.
+    pub(super) fn advance(&mut self) {
+        let held = |id| match id == self.me.id {
+            true => self.durable,
+            false => self.leading.peers.get(&id).map_or(0, |p| p.matched),
+        };
+        let index = self.log.electorate().reached(self.timing.tolerance, held);
+        if index > self.commit && self.log.term_at(index) == Some(self.term) {
             self.commit_to(index);
             self.current = true;
             self.settle_reads();
@@ -212,83 +256,88 @@
     }
 
     pub(super) fn commit_to(&mut self, index: u64) {
-        self.commit = self.commit.max(index.min(self.last_index()));
+        self.commit = self.commit.max(index.min(self.log.last_index()));
         while self.applied < self.commit {
             self.applied += 1;
-            let entry = self.log[(self.applied - self.snapshot.index - 1) as usize].clone();
+            let Some(entry) = self.log.entry(self.applied).cloned() else { break };
+            self.fresh_bytes += entry.size();
             self.out.push(Effect::Apply(self.applied, entry));
         }
+        if self.incoming.as_ref().is_some_and(|i| i.of.index <= self.commit) {
+            self.incoming = None;
+        }
     }
 
     /// The log check and the append; says whether it fitted and up to where the log agrees, or else
     /// from where to try again.
     pub(super) fn take(&mut self, prev_index: u64, prev_term: u64, entries: Vec<Entry>) -> (bool, u64) {
-        if prev_index < self.snapshot.index {
-            // What the snapshot covers is committed here.
-            let covered = (self.snapshot.index - prev_index) as usize;
+        let (base_index, base_term) = self.log.base();
+        if prev_index < base_index {
+            // What lies before the base is committed here.
+            let covered = (base_index - prev_index) as usize;
             if entries.len() <= covered {
                 return (true, prev_index + entries.len() as u64);
             }
-            return self.take(self.snapshot.index, self.snapshot.term, entries[covered..].to_vec());
+            return self.take(base_index, base_term, entries[covered..].to_vec());
         }
-        match self.term_at(prev_index) {
+        match self.log.term_at(prev_index) {
             Some(t) if t == prev_term => {}
-            Some(_) => return (false, self.commit.max(prev_index.saturating_sub(1))),
-            None => return (false, self.last_index()),
+            Some(_) => return (false, self.log.before_term_of(prev_index, self.commit)),
+            None => return (false, self.log.last_index()),
         }
         let mut write = Write::default();
         let agreed = prev_index + entries.len() as u64;
         for (at, entry) in entries.into_iter().enumerate() {
             let index = prev_index + 1 + at as u64;
-            match self.term_at(index) {
+            match self.log.term_at(index) {
                 Some(t) if t == entry.term => continue,
                 Some(_) => {
                     assert!(index > self.commit, "a committed entry would be dropped");
-                    self.log.truncate((index - self.snapshot.index - 1) as usize);
-                    self.durable = self.durable.min(index - 1);
-                    for (_, last) in &mut self.writing {
-                        *last = (*last).min(index - 1);
-                    }
+                    self.log.truncate(index);
+                    self.not_durable_from(index);
                     write.truncate = Some(index);
                 }
                 None => {}
             }
-            self.log.push_back(entry.clone());
+            self.log.push(entry.clone());
             write.entries.push((index, entry));
         }
         if write != Write::default() {
-            let touched = |(_, e): &(u64, Entry)| matches!(e.command, Command::Voters { .. });
-            if write.truncate.is_some() || write.entries.iter().any(touched) {
-                self.find_electorate();
-            }
             self.write(write);
         }
         (true, agreed)
     }
 
-    pub(super) fn appended(&mut self, now: Instant, from: Voter, term: u64, round: u64, success: bool, index: u64) {
-        if self.role != Role::Leader || term != self.term {
-            return;
-        }
-        let last = self.last_index();
+    pub(super) fn appended(&mut self, now: Instant, from: Voter, round: u64, success: bool, index: u64) {
+        let (last, (base, _)) = (self.log.last_index(), self.log.base());
         let Some(peer) = self.leading.peers.get_mut(&from.id) else { return };
         peer.heard = Some(now);
         peer.round = peer.round.max(round);
         peer.ip = from.ip;
-        peer.flying = None;
         if success {
             peer.matched = peer.matched.max(index);
             peer.next = peer.next.max(peer.matched + 1);
-        } else {
+            // Answers come in the order of questions, so a later round's says that the batch was lost.
+            if peer.flying.is_some_and(|f| f.last <= peer.matched || f.round < round) {
+                peer.flying = None;
+            }
+            if peer.sending.as_ref().is_some_and(|s| s.of.index <= peer.matched) {
+                peer.sending = None;
+            }
+            peer.lap.reached(now, peer.matched, last);
+        } else if peer.sending.is_none() || peer.next > base {
+            peer.sending = None;
             peer.next = (index + 1).min(peer.next.saturating_sub(1)).max(peer.matched + 1);
+            peer.flying = None;
         }
         let more = peer.next <= last;
         self.confirm_round(now);
-        self.advance(now);
+        self.advance();
         if self.role == Role::Leader {
             if more {
                 self.replicate(now, from.id, false);
             }
+            self.hand_on(now);
             self.settle_membership(now);
         }
     }
--- a/brood/src/process/raft/wire.rs
+++ b/brood/src/process/raft/wire.rs
@@ -1,6 +1,7 @@
-//! What voters say to each other.
+//! What voters and learners say to each other.
 
-use super::{Entry, Snapshot, Voter, VoterId};
+use super::Entry;
+use crate::version::electorate::{Voter, VoterId};
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -40,9 +41,18 @@
         success: bool,
         index: u64,
     },
+    /// A part of a snapshot.
     InstallSnapshot {
         round: u64,
-        snapshot: Snapshot,
+        of: SnapshotId,
+        offset: u64,
+        bytes: Vec<u8>,
+    },
+    /// So many bytes of this snapshot are here; the next are wanted from there on.
+    SnapshotTaken {
+        round: u64,
+        of: SnapshotId,
+        offset: u64,
     },
     /// A daemon outside the electorate asks to be sent the log; `voter`: and to be admitted.
     Join {
@@ -50,4 +60,18 @@
     },
     /// The leader hands its lead on: stand at once.
     Succeed,
+    /// A daemon is about to end, and asks to be taken out of the electorate if others can spare it.
+    Leave,
+    /// It may end now.
+    Left,
+}
+
+/// One snapshot, whoever sends it: equal states at equal indexes are equal bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotId {
+    pub index: u64,
+    pub term: u64,
+    /// Length and digest of the whole.
+    pub length: u64,
+    pub digest: u64,
 }
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -2,13 +2,14 @@
 
 use super::dance::{Dance, Grant};
 use super::duties::{self, Duties, Probed, Scene};
-use super::raft::{self, Raft, Role, Snapshot, Stored, Timing, Voter, Write};
+use super::raft::{self, Raft, Role, Snapshot, Stored, Timing, Write};
 use super::registry::{self, Beat, Registry};
 use super::relay::Relay;
 use super::repair::{Fact, Instance, Value};
 use super::settings::{Bounds, Settings};
 use super::views::{Card, Views};
 use crate::version::config;
+use crate::version::electorate::{Voter, VoterId};
 use crate::version::ledger::{Command, Ledger, Mark, Outcome};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -96,10 +97,6 @@
 const JOIN: Duration = Duration::from_millis(300);
 /// Daemons that keep the log and were not heard for this long are forgotten, unless they are seeds or vote.
 const QUEEN_GONE: Duration = Duration::from_secs(60);
-/// Applied entries kept before they are compacted, and bytes of configurations in them: a storm of large
-/// ones must not fill the disk.
-const LOG_KEPT: u64 = 400;
-const LOG_BYTES: usize = 2 << 20;
 /// A leader counts as confirmed this long after a round began that a majority answered.
 pub const CONFIRM: Duration = Duration::from_millis(400);
 /// Timers armed for a tick are never nearer than this.
@@ -117,7 +114,7 @@
     duties: Duties,
     /// Other daemons that keep the log.
     queens: BTreeMap<Ipv4Addr, (Card, Instant)>,
-    founders: BTreeMap<Ipv4Addr, raft::VoterId>,
+    founders: BTreeMap<Ipv4Addr, VoterId>,
     proposer: u64,
     serial: u64,
     proposals: BTreeMap<u64, Proposal>,
@@ -125,8 +122,6 @@
     /// Reads that found no leader yet.
     next_read: u64,
     published: u64,
-    /// Bytes of configurations applied since the log was last compacted.
-    log_bytes: usize,
     hello_due: Instant,
     join_due: Instant,
     gossip_due: Instant,
@@ -174,7 +169,6 @@
             reads: BTreeMap::new(),
             next_read: 0,
             published: 0,
-            log_bytes: 0,
             hello_due: now,
             join_due: now,
             gossip_due: now + GOSSIP / 2,
@@ -209,7 +203,7 @@
 
     /// Every other daemon that may keep the log: the seeds are only the first of them.
     fn others(&self) -> BTreeSet<Ipv4Addr> {
-        let voters = self.raft.voters().iter().map(|v| v.ip);
+        let voters = self.raft.voters().into_iter().map(|v| v.ip);
         let mut all: BTreeSet<Ipv4Addr> =
             self.seeds.iter().copied().chain(self.queens.keys().copied()).chain(voters).collect();
         all.remove(&self.card.ip);
@@ -259,8 +253,7 @@
             self.proposals.values_mut().for_each(|p| p.due = now);
         }
         self.was = role;
-        if self.raft.compactable() > LOG_KEPT || (self.log_bytes > LOG_BYTES && self.raft.compactable() > 0) {
-            self.log_bytes = 0;
+        if self.raft.wants_snapshot() {
             let state = bincode::serde::encode_to_vec(&self.ledger, bincode::config::standard()).unwrap_or_default();
             if !state.is_empty() {
                 self.raft.compact(state);
@@ -309,9 +302,6 @@
     }
 
     fn apply(&mut self, now: Instant, index: u64, entry: &raft::Entry) {
-        if let Command::Configure { raw, .. } = &entry.command {
-            self.log_bytes += raw.len();
-        }
         let outcome = self.ledger.apply(index, entry.mark, &entry.command);
         self.duties.applied(&entry.command);
         if entry.mark.proposer == self.proposer && entry.mark.serial != 0 {
@@ -456,9 +446,11 @@
                     self.send(from, Dance::Elsewhere { mark });
                 } else if let Some(outcome) = self.ledger.result(mark).cloned() {
                     self.send(from, Dance::Decided { mark, outcome });
-                } else {
+                } else if self.raft.propose(now, mark, command).is_some() {
                     self.send(from, Dance::Heard { mark });
-                    self.raft.propose(now, mark, command);
+                } else {
+                    // It hands its lead on, or has too much under way.
+                    self.send(from, Dance::Elsewhere { mark });
                 }
             }
             Dance::Heard { mark } => {
@@ -523,6 +515,11 @@
         self.turn(now);
     }
 
+    /// Whether this daemon, told to leave, is not needed any more.
+    pub fn may_end(&self) -> bool {
+        self.raft.may_end()
+    }
+
     /// Where callers of `control` find another daemon that keeps the log.
     fn control_of(&self, ip: Ipv4Addr) -> Option<SocketAddrV4> {
         if ip == self.card.ip { self.card.control } else { self.queens.get(&ip).and_then(|(c, _)| c.control) }
--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -2,8 +2,8 @@
 //! Applying is deterministic; every daemon that keeps the log reaches the same ledger.
 
 use super::config;
+use super::electorate::{Electorate, Voter};
 use crate::process::carry::Parts;
-use crate::process::raft::Voter;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -51,11 +51,32 @@
         counts: BTreeMap<String, u64>,
         holder: String,
     },
+    /// Who votes from here on.
     Voters {
-        voters: Vec<Voter>,
+        electorate: Electorate,
     },
 }
 
+impl Command {
+    /// Bytes that it takes, roughly: its texts, and a little for each number.
+    pub fn size(&self) -> usize {
+        const NUMBER: usize = 8;
+        match self {
+            Command::Noop => 0,
+            Command::Configure { raw, by, .. } => raw.len() + by.len() + 2 * NUMBER,
+            Command::Close { service, .. } => service.len() + NUMBER,
+            Command::Name { service, target, holder, .. } => service.len() + target.len() + holder.len() + NUMBER,
+            Command::Crown { service, primary, .. } => service.len() + primary.len() + 2 * NUMBER,
+            Command::Drain { id } => id.len(),
+            Command::Shares { parts } => parts.keys().map(|name| name.len() + 2 * NUMBER).sum(),
+            Command::Usage { counts, holder, .. } => {
+                counts.keys().map(|tenant| tenant.len() + NUMBER).sum::<usize>() + holder.len() + NUMBER
+            }
+            Command::Voters { electorate } => (electorate.voters.len() + electorate.outgoing.len()) * 2 * NUMBER,
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     Done,
@@ -285,8 +306,8 @@
                     self.reports.pop_first();
                 }
             }
-            Command::Voters { voters } => {
-                self.voters = voters.clone();
+            Command::Voters { electorate } => {
+                self.voters = electorate.all();
                 self.note("q/".to_owned());
             }
         }
--- a/queen/src/drive.rs
+++ b/queen/src/drive.rs
@@ -22,7 +22,11 @@
 /// Probes of instances and calls to the platform take this long at most.
 const PROBE: Duration = Duration::from_millis(250);
 const CALL: Duration = Duration::from_millis(2000);
-/// After SIGTERM, calls under way get this long.
+/// After SIGTERM, the part of its grace in which a queen waits for others to take over what it does.
+const LEAVE_SHARE: f64 = 0.5;
+/// How often it looks whether they have.
+const LEAVE_LOOK: Duration = Duration::from_millis(10);
+/// After that, calls under way get this long.
 const FAREWELL: Duration = Duration::from_millis(150);
 /// Answers of the wire to one probe stay far below this.
 const PROBE_BYTES: usize = 16 * 1024;
@@ -108,6 +112,8 @@
     let result = ended.recv().await.unwrap_or(Ok(()));
     if result.is_ok() {
         court.leave();
+        let patience = Duration::from_secs_f64(settings.timing_bounds.grace_s * LEAVE_SHARE);
+        within(patience, court.left()).await;
         smol::Timer::after(FAREWELL).await;
     }
     result
@@ -127,6 +133,13 @@
         self.perform(now);
     }
 
+    /// Waits until nothing here is needed any more.
+    async fn left(&self) {
+        while !self.royal.borrow().may_end() {
+            smol::Timer::after(LEAVE_LOOK).await;
+        }
+    }
+
     fn dance(self: &Rc<Self>, from: std::net::Ipv4Addr, dance: Dance) {
         let now = Instant::now();
         self.royal.borrow_mut().dance(now, from, dance);
--- /dev/null
+++ b/queen/src/store/tests.rs
@@ -0,0 +1,161 @@
+//! The store over a disk with a power switch, and over a real folder.
+
+use super::*;
+use brood::process::raft::{Entry, Snapshot};
+use brood::version::electorate::{Electorate, Voter};
+use brood::version::ledger::{Command, Mark};
+
+/// A disk with a power switch: what was synced, what was only written, and refusals by lot.
+#[derive(Default)]
+struct Memory {
+    synced: Vec<u8>,
+    written: Vec<u8>,
+    refuse: f64,
+    rng: fastrand::Rng,
+}
+
+impl Memory {
+    fn refuses(&mut self) -> io::Result<()> {
+        if self.rng.f64() < self.refuse { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+    /// Any part of what was not synced may be there, in any order.
+    fn lose_power(&mut self) -> Vec<u8> {
+        let mut left = self.synced.clone();
+        let length = self.rng.usize(left.len().min(self.written.len())..=left.len().max(self.written.len()));
+        left.resize(length, 0);
+        for at in (0..length.min(self.written.len())).step_by(64) {
+            let end = (at + 64).min(length).min(self.written.len());
+            if at >= self.synced.len().saturating_sub(63) && self.rng.bool() {
+                left[at.max(self.synced.len().min(end))..end]
+                    .copy_from_slice(&self.written[at.max(self.synced.len().min(end))..end]);
+            }
+        }
+        left
+    }
+}
+
+impl Disk for Memory {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let refused = self.refuses();
+        let part = if refused.is_err() { self.rng.usize(0..bytes.len()) } else { bytes.len() };
+        self.written.extend_from_slice(&bytes[..part]);
+        refused
+    }
+    fn sync(&mut self) -> io::Result<()> {
+        self.refuses()?;
+        self.synced = self.written.clone();
+        Ok(())
+    }
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        self.refuses()?;
+        self.written.truncate(length as usize);
+        Ok(())
+    }
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.refuses()?;
+        (self.synced, self.written) = (bytes.to_vec(), bytes.to_vec());
+        Ok(())
+    }
+}
+
+fn over(disk: Memory, bytes: &[u8]) -> Store<Memory> {
+    let (state, good) = read(bytes).expect("what was synced opens");
+    let dirty = good < bytes.len();
+    Store { disk, state, length: good as u64, whole: 0, dirty, doubtful: false }
+}
+
+fn some_write(rng: &mut fastrand::Rng, state: &Stored) -> Write {
+    let last = state.last_index();
+    let entry = |i: u64| (i, Entry { term: i, mark: Mark::default(), command: Command::Drain { id: format!("i{i}") } });
+    match rng.u8(0..8) {
+        0 => Write { hard: Some((state.term + 1, Some(rng.u64(..)))), ..Write::default() },
+        1 | 2 if last > state.snapshot.index => {
+            let electorate = Electorate::of(vec![Voter { id: 7, ip: std::net::Ipv4Addr::LOCALHOST }]);
+            let snapshot = Snapshot { index: state.snapshot.index + 1, term: 1, electorate, state: vec![3; 300] };
+            // The log may keep any part of what the snapshot covers.
+            let trim = rng.bool().then(|| rng.u64(state.base_index..=snapshot.index));
+            Write { snapshot: Some(snapshot), trim, ..Write::default() }
+        }
+        3 => {
+            let electorate = Electorate::default();
+            let snapshot = Snapshot { index: last + 5, term: 2, electorate, state: vec![4; 300] };
+            Write { snapshot: Some(snapshot), reset: true, ..Write::default() }
+        }
+        4 | 5 if last > state.snapshot.index => {
+            Write { truncate: Some(last), entries: vec![entry(last)], ..Write::default() }
+        }
+        _ => Write { entries: vec![entry(last + 1), entry(last + 2)], ..Write::default() },
+    }
+}
+
+#[test]
+fn power_lost_at_any_moment_takes_only_what_was_not_told() {
+    for seed in 0..300 {
+        let founded = framed(&Record::State(FORMAT, Stored { id: 7, ..Stored::default() })).expect("framed");
+        let rng = fastrand::Rng::with_seed(seed);
+        let disk = Memory { synced: founded.clone(), written: founded.clone(), refuse: 0.2, rng };
+        let mut store = over(disk, &founded);
+        let mut told = store.state.clone();
+        let mut rng = fastrand::Rng::with_seed(seed + 1000);
+        for _ in 0..rng.usize(1..20) {
+            let write = some_write(&mut rng, &told);
+            let mut with = told.clone();
+            assert!(with.take(write.clone()));
+            // The last try may be cut short by the loss of power.
+            if rng.u8(0..12) == 0 {
+                let _ = store.write(std::slice::from_ref(&write));
+                let left = store.disk.lose_power();
+                let (found, _) = read(&left).unwrap_or_else(|e| panic!("seed {seed}: {e:?}"));
+                assert!(found == told || found == with, "seed {seed}");
+                told = found;
+                let rng = std::mem::take(&mut store.disk.rng);
+                let disk = Memory { synced: left.clone(), written: left.clone(), refuse: 0.2, rng };
+                store = over(disk, &left);
+                continue;
+            }
+            while store.write(std::slice::from_ref(&write)).is_err() {}
+            told = with;
+            assert_eq!(read(&store.disk.synced).expect("synced").0, told, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn damage_is_refused_and_a_torn_end_is_not() {
+    let record = |term| {
+        let write = Write { hard: Some((term, None)), ..Write::default() };
+        framed(&Record::Writes(vec![write])).expect("framed")
+    };
+    let mut bytes = framed(&Record::State(FORMAT, Stored { id: 7, ..Stored::default() })).expect("framed");
+    let first = bytes.len();
+    bytes.extend(record(1));
+    let second = bytes.len();
+    bytes.extend(record(2));
+    assert_eq!(read(&bytes).expect("whole").0.term, 2);
+    assert_eq!(read(&bytes[..bytes.len() - 1]).expect("torn").0.term, 1);
+    for (at, what) in [(2, "the first"), (first + 13, "a middle")] {
+        let mut bad = bytes.clone();
+        bad[at] ^= 1;
+        assert!(read(&bad).is_err(), "{what} record damaged");
+    }
+    bytes[second + 13] ^= 1;
+    assert_eq!(read(&bytes).expect("a bad end was never told").0.term, 1);
+}
+
+#[test]
+fn on_a_real_folder_the_state_comes_back_and_strangers_are_refused() {
+    let path = std::env::temp_dir().join(format!("queen-store-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).expect("a folder");
+    std::fs::write(path.join(FRESH), b"half a founding").expect("laid");
+    let mut store = Store::try_open(&path, 3).expect("founded");
+    store.write(&[Write { hard: Some((4, Some(3))), ..Write::default() }]).expect("written");
+    store.write_whole(&[Write { hard: Some((5, None)), ..Write::default() }]).expect("written anew");
+    drop(store);
+    let store = Store::try_open(&path, 9).expect("opened");
+    assert_eq!((store.state.id, store.state.term), (3, 5));
+    std::fs::remove_file(path.join(FILE)).expect("removed");
+    std::fs::write(path.join("0.jnl"), b"of an earlier version").expect("laid");
+    assert!(matches!(Store::try_open(&path, 9), Err(Trouble::Unreadable(_))));
+    std::fs::remove_dir_all(&path).expect("removed");
+}
