The store's file is bounded by the disk, whatever the state's size

Cause: it was written anew at four times the state's size; with 16 MiB of log kept for a live follower that is 72 MB and a new file beside it, on a disk of 128. Change: what it holds beyond the state is also bounded by an eighth of disk-mb. Batches of entries go up to 1 MiB. Test: large_states_and_hundreds_of_writes_never_fill_the_disk (fails with the old bound alone).

--- a/brood/src/process/raft/replication.rs
+++ b/brood/src/process/raft/replication.rs
@@ -12,7 +12,7 @@
 
 /// Entries in one message, and its rough size.
 const BATCH_ENTRIES: usize = 64;
-const BATCH_BYTES: usize = 512 * 1024;
+const BATCH_BYTES: usize = 1 << 20;
 /// A leader takes no proposal while so many bytes of its log are not committed.
 const OPEN_BYTES: usize = 8 << 20;
 /// What is on its way and unanswered for this many T is sent again, whatever else was answered.
--- a/queen/src/drive.rs
+++ b/queen/src/drive.rs
@@ -54,7 +54,7 @@
     mut reader: Reader,
 ) -> Result<(), String> {
     let mut rng = fastrand::Rng::new();
-    let (store, stored) = Store::open(&data, rng.u64(1..))?;
+    let (store, stored) = Store::open(&data, settings.limits.disk_mb << 20, rng.u64(1..))?;
     let (done, durable) = smol::channel::unbounded();
     let court = Rc::new(Court {
         hive,
--- a/queen/src/store.rs
+++ b/queen/src/store.rs
@@ -23,9 +23,11 @@
 const FORMAT: u32 = 2;
 /// Length and digest before each record.
 const HEAD: usize = 12;
-/// The file is written anew when it has grown beyond this, and beyond so many times the state's size.
+/// The file is written anew when it has grown beyond this, and beyond so many times the state's size; but
+/// also when what it holds besides passes this part of the disk, so that old file and new one fit together.
 const ROOM: u64 = 1 << 20;
 const ROOM_TIMES: u64 = 4;
+const ROOM_PART: u64 = 8;
 /// Pause before a disk that refused is tried again.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -152,6 +154,8 @@
     /// The file's good bytes, and those of the state when it was last written whole.
     length: u64,
     whole: u64,
+    /// Bytes of the disk.
+    disk_size: u64,
     /// Something went wrong since: what the file holds beyond `length` is cut first.
     dirty: bool,
     /// A sync failed, so the file's bytes can't be trusted to be on disk: it is written anew.
@@ -161,10 +165,11 @@
 impl Store<Folder> {
     /// Opens the store, or founds it with a new identity where the folder is empty. A store that
     /// can't be read is refused, never emptied; a disk that refuses is tried until it answers.
-    pub fn open(path: &str, fresh_id: u64) -> Result<(Self, Stored), String> {
+    /// `disk_size`: bytes of the disk.
+    pub fn open(path: &str, disk_size: u64, fresh_id: u64) -> Result<(Self, Stored), String> {
         let mut told = false;
         loop {
-            match Store::try_open(Path::new(path), fresh_id) {
+            match Store::try_open(Path::new(path), disk_size, fresh_id) {
                 Ok(store) => {
                     let stored = store.state.clone();
                     return Ok((store, stored));
@@ -180,7 +185,7 @@
         }
     }
 
-    fn try_open(path: &Path, fresh_id: u64) -> Result<Self, Trouble> {
+    fn try_open(path: &Path, disk_size: u64, fresh_id: u64) -> Result<Self, Trouble> {
         std::fs::create_dir_all(path)?;
         let bytes = match std::fs::read(path.join(FILE)) {
             Ok(bytes) => bytes,
@@ -204,7 +209,7 @@
         let (length, dirty) = (good as u64, good < bytes.len());
         // What is read may not be on disk yet where a sync was under way when the process ended.
         disk.file.sync_all()?;
-        Ok(Store { disk, state, length, whole: 0, dirty, doubtful: false })
+        Ok(Store { disk, state, length, whole: 0, disk_size, dirty, doubtful: false })
     }
 }
 
@@ -212,7 +217,8 @@
     /// Makes writes durable, together. On `Err` nothing of them is told as durable, and trying again
     /// is safe.
     fn write(&mut self, writes: &[Write]) -> Result<(), Trouble> {
-        let grown = self.length > ROOM.max(self.whole * ROOM_TIMES);
+        let room = (self.whole * ROOM_TIMES).min(self.whole + self.disk_size / ROOM_PART);
+        let grown = self.length > ROOM.max(room);
         if self.doubtful || grown {
             match self.write_whole(writes) {
                 Err(Trouble::Disk(_)) if !self.doubtful => {}
--- a/queen/src/store/tests.rs
+++ b/queen/src/store/tests.rs
@@ -58,10 +58,13 @@
     }
 }
 
+/// Bytes of the disk.
+const DISK: u64 = 128 << 20;
+
 fn over(disk: Memory, bytes: &[u8]) -> Store<Memory> {
     let (state, good) = read(bytes).expect("what was synced opens");
     let dirty = good < bytes.len();
-    Store { disk, state, length: good as u64, whole: 0, dirty, doubtful: false }
+    Store { disk, state, length: good as u64, whole: 0, disk_size: DISK, dirty, doubtful: false }
 }
 
 fn some_write(rng: &mut fastrand::Rng, state: &Stored) -> Write {
@@ -148,14 +151,37 @@
     let _ = std::fs::remove_dir_all(&path);
     std::fs::create_dir_all(&path).expect("a folder");
     std::fs::write(path.join(FRESH), b"half a founding").expect("laid");
-    let mut store = Store::try_open(&path, 3).expect("founded");
+    let mut store = Store::try_open(&path, DISK, 3).expect("founded");
     store.write(&[Write { hard: Some((4, Some(3))), ..Write::default() }]).expect("written");
     store.write_whole(&[Write { hard: Some((5, None)), ..Write::default() }]).expect("written anew");
     drop(store);
-    let store = Store::try_open(&path, 9).expect("opened");
+    let store = Store::try_open(&path, DISK, 9).expect("opened");
     assert_eq!((store.state.id, store.state.term), (3, 5));
     std::fs::remove_file(path.join(FILE)).expect("removed");
     std::fs::write(path.join("0.jnl"), b"of an earlier version").expect("laid");
-    assert!(matches!(Store::try_open(&path, 9), Err(Trouble::Unreadable(_))));
+    assert!(matches!(Store::try_open(&path, DISK, 9), Err(Trouble::Unreadable(_))));
     std::fs::remove_dir_all(&path).expect("removed");
 }
+
+#[test]
+fn large_states_and_hundreds_of_writes_never_fill_the_disk() {
+    let founded = framed(&Record::State(FORMAT, Stored { id: 7, ..Stored::default() })).expect("framed");
+    let disk = Memory { synced: founded.clone(), written: founded.clone(), ..Memory::default() };
+    let mut store = over(disk, &founded);
+    let raw = |n: u64| vec![n as u8; 256_000];
+    let mut most = 0;
+    for index in 1..=600u64 {
+        let command = Command::Configure { if_match: index - 1, raw: raw(index), by: "q".into(), at: RETRY };
+        let entries = vec![(index, Entry { term: 1, mark: Mark::default(), command })];
+        store.write(&[Write { entries, ..Write::default() }]).expect("written");
+        if index % 8 == 0 {
+            // The state, and as much of the log behind it as a live follower may want.
+            let snapshot = Snapshot { index, term: 1, electorate: Electorate::default(), state: vec![1; 1_500_000] };
+            let trim = Some(index.saturating_sub(64));
+            store.write(&[Write { snapshot: Some(snapshot), trim, ..Write::default() }]).expect("written");
+        }
+        // While it is written anew, the old file is there too.
+        most = most.max(store.length + store.whole);
+    }
+    assert!(most < DISK * 2 / 3, "{most} bytes");
+}
