Two silent voters of a large electorate are retired also when nobody is left to take their place

Cause: in an odd electorate a silent voter was retired only while exactly one newcomer stood ready. Where two machines were replaced at once, both newcomers were ready before the others had been silent for 1.5 s, and were admitted: seven voters, two of them gone for good, and nobody ready any more, so nothing ever changed again. Before: with five machines and a tolerance of two, the loss of two more disks later left three of seven, and no leader could be elected again. Shrunk: five machines, two replaced 0.1 s apart, rest; the electorate stayed at seven. After: with two or more silent and more voters than the tolerance needs, one after the other is retired. Conclusion: the electorate is back to five 4 s after the second replacement, in 2000 explored runs and the laid out schedule of the model test that follows.

--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -1082,6 +1082,7 @@
             .filter(|v| v.id != self.me.id)
             .max_by_key(|v| voter_silence(v))
             .filter(|v| voter_silence(v) > RETIRE_AFTER);
+        let gone = voters.iter().filter(|v| v.id != self.me.id && voter_silence(v) > RETIRE_AFTER).count();
         let even = voters.len().is_multiple_of(2);
         let full = voters.len() >= VOTERS_MAX;
         let spare = voters.len() > 2 * self.timing.tolerance + 1;
@@ -1089,7 +1090,7 @@
         let retired = match (wiped, longest) {
             (Some(old), _) => Some(old),
             (None, Some(old)) if !even && (ready.len() == 1 || (full && !ready.is_empty())) => Some(old),
-            (None, Some(old)) if even && ready.is_empty() && spare => Some(old),
+            (None, Some(old)) if (even || gone > 1) && ready.is_empty() && spare => Some(old),
             _ => None,
         };
         let next: Vec<Voter> = if let Some(old) = retired {
