--- /dev/null
+++ b/brood/tests/model/disk.rs
@@ -0,0 +1,128 @@
+//! A queen's disk: what is synced, what is only written, what waits to be written.
+
+use super::schedule::Kept;
+use brood::process::raft::{Entry, Stored, Voter, VoterId, Write};
+use brood::version::ledger::Command;
+use std::collections::VecDeque;
+
+/// Looking into what is stored: the only place that knows how the log and the snapshot lie there.
+pub trait Log {
+    fn last(&self) -> u64;
+    fn last_term(&self) -> u64;
+    fn term_at(&self, index: u64) -> Option<u64>;
+    fn entry(&self, index: u64) -> Option<&Entry>;
+    /// The newest electorate, committed or not, and where it stands.
+    fn electorate(&self) -> (u64, &[Voter]);
+    /// The newest before an index.
+    fn electorate_before(&self, index: u64) -> &[Voter];
+    /// Whether this log could be that of a voter who votes for one whose log ends so.
+    fn yields_to(&self, last_term: u64, last: u64) -> bool {
+        (last_term, last) >= (self.last_term(), self.last())
+    }
+}
+
+impl Log for Stored {
+    fn last(&self) -> u64 {
+        self.snapshot.index + self.log.len() as u64
+    }
+    fn last_term(&self) -> u64 {
+        self.log.last().map_or(self.snapshot.term, |e| e.term)
+    }
+    fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+    fn entry(&self, index: u64) -> Option<&Entry> {
+        self.log.get(index.checked_sub(self.snapshot.index + 1)? as usize)
+    }
+    fn electorate(&self) -> (u64, &[Voter]) {
+        let first = self.snapshot.index + 1;
+        let found = self.log.iter().enumerate().rev().find_map(|(at, e)| match &e.command {
+            Command::Voters { voters } => Some((first + at as u64, voters.as_slice())),
+            _ => None,
+        });
+        found.unwrap_or((0, &self.snapshot.voters))
+    }
+    fn electorate_before(&self, index: u64) -> &[Voter] {
+        let until = index.saturating_sub(self.snapshot.index + 1) as usize;
+        let found = self.log.iter().take(until).rev().find_map(|e| match &e.command {
+            Command::Voters { voters } => Some(voters.as_slice()),
+            _ => None,
+        });
+        found.unwrap_or(&self.snapshot.voters)
+    }
+}
+
+#[derive(Debug)]
+pub struct Disk {
+    /// What no loss of power takes.
+    pub synced: Stored,
+    /// What the queen believes that it has written: its memory.
+    pub memory: Stored,
+    /// Writes that are not synced, and how many of them are with the disk.
+    queue: VecDeque<(u64, Write)>,
+    with_disk: usize,
+    pub syncs: u32,
+}
+
+impl Disk {
+    pub fn new(id: VoterId) -> Self {
+        Disk::holding(Stored { id, ..Stored::default() })
+    }
+
+    fn holding(stored: Stored) -> Self {
+        Disk { memory: stored.clone(), synced: stored, queue: VecDeque::new(), with_disk: 0, syncs: 0 }
+    }
+
+    pub fn id(&self) -> VoterId {
+        self.synced.id
+    }
+
+    /// False if the write does not fit what is there.
+    pub fn write(&mut self, number: u64, write: Write) -> bool {
+        let fits = self.memory.take(write.clone());
+        self.queue.push_back((number, write));
+        fits
+    }
+
+    /// Gives the disk all that waits; true if there was something and the disk was free.
+    pub fn begin_sync(&mut self) -> bool {
+        if self.with_disk > 0 || self.queue.is_empty() {
+            return false;
+        }
+        self.with_disk = self.queue.len();
+        self.syncs += 1;
+        true
+    }
+
+    pub fn busy(&self) -> bool {
+        self.with_disk > 0
+    }
+
+    /// What was with the disk is durable; the number of the last such write.
+    pub fn end_sync(&mut self) -> Option<u64> {
+        let mut durable = None;
+        for (number, write) in self.queue.drain(..self.with_disk) {
+            self.synced.take(write);
+            durable = Some(number);
+        }
+        self.with_disk = 0;
+        durable
+    }
+
+    /// The process is gone. Whatever the crash left is read and synced before anything rests on it.
+    pub fn crash(&mut self, kept: Kept) {
+        let kept = match kept {
+            Kept::All => self.with_disk,
+            Kept::Nothing => 0,
+            Kept::First(n) => n.min(self.with_disk),
+        };
+        for (_, write) in self.queue.drain(..).take(kept) {
+            self.synced.take(write);
+        }
+        self.with_disk = 0;
+        self.memory = self.synced.clone();
+    }
+}
--- /dev/null
+++ b/brood/tests/model/node.rs
@@ -0,0 +1,260 @@
+//! A queen's process: the real `Raft` and `Ledger`, driven as `Royal` drives them.
+
+use super::network::Wire;
+use brood::process::raft::{Effect, Entry, Raft, Role, Snapshot, Stored, Timing, VoterId, Write};
+use brood::version::ledger::{Command, Ledger, Mark, Outcome, Version};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+/// As in `Royal`.
+const HEARD_TIMER: Duration = Duration::from_millis(150);
+const DECIDED_TIMER: Duration = Duration::from_millis(900);
+const ANSWER_BY: Duration = Duration::from_millis(4000);
+const JOIN: Duration = Duration::from_millis(300);
+const BREATH: Duration = Duration::from_millis(2);
+
+/// A client's call, by its number.
+pub type Call = usize;
+
+#[derive(Debug, Clone)]
+pub enum Answer {
+    Decided(Outcome),
+    Read(Option<Version>),
+    /// Ask there.
+    Elsewhere(Ipv4Addr),
+    Unclear,
+}
+
+/// What a turn led to, in order.
+#[derive(Debug)]
+pub enum Out {
+    Write(u64, Write),
+    /// To be let out once the write with this number is durable.
+    Send(Ipv4Addr, Wire, u64),
+    Restored(Snapshot),
+    Applied(u64, Entry, Outcome),
+    Answer(Call, Answer),
+}
+
+#[derive(Debug)]
+struct Proposal {
+    command: Command,
+    call: Call,
+    by: Instant,
+    due: Instant,
+}
+
+pub struct Node {
+    pub raft: Raft,
+    pub ledger: Ledger,
+    id: VoterId,
+    ip: Ipv4Addr,
+    in_quorum: bool,
+    log_kept: u64,
+    proposer: u64,
+    serial: u64,
+    proposals: BTreeMap<u64, Proposal>,
+    reads: BTreeMap<u64, Call>,
+    tokens: u64,
+    join_due: Instant,
+    out: Vec<Out>,
+}
+
+/// How a queen is set up.
+pub struct Setup {
+    pub ip: Ipv4Addr,
+    pub timing: Timing,
+    pub in_quorum: bool,
+    pub log_kept: u64,
+    pub rng: fastrand::Rng,
+}
+
+impl Node {
+    pub fn new(now: Instant, stored: Stored, mut setup: Setup) -> Self {
+        let proposer = setup.rng.u64(1..);
+        let id = stored.id;
+        let raft = Raft::new(now, setup.ip, setup.timing, stored, setup.rng.fork());
+        Node {
+            raft,
+            ledger: Ledger::default(),
+            id,
+            ip: setup.ip,
+            in_quorum: setup.in_quorum,
+            log_kept: setup.log_kept,
+            proposer,
+            serial: 0,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            tokens: 0,
+            join_due: now,
+            out: Vec::new(),
+        }
+    }
+
+    /// The calls that a crash takes with it.
+    pub fn calls(&self) -> Vec<Call> {
+        self.proposals.values().map(|p| p.call).chain(self.reads.values().copied()).collect()
+    }
+
+    /// Takes what the log wants done, until it wants nothing more, and compacts it.
+    pub fn turn(&mut self) -> Vec<Out> {
+        loop {
+            let effects = self.raft.effects();
+            if effects.is_empty() {
+                if self.raft.compactable() <= self.log_kept {
+                    return std::mem::take(&mut self.out);
+                }
+                let state = encode(&self.ledger);
+                self.raft.compact(state);
+                continue;
+            }
+            for effect in effects {
+                self.perform(effect);
+            }
+        }
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write(number, write) => self.out.push(Out::Write(number, write)),
+            Effect::Send(to, message, after) => self.out.push(Out::Send(to, Wire::Raft(message), after)),
+            Effect::Restore(snapshot) => {
+                if !snapshot.state.is_empty() {
+                    let read = bincode::serde::decode_from_slice(&snapshot.state, bincode::config::standard());
+                    (self.ledger, _) = read.expect("a snapshot can be read");
+                }
+                self.out.push(Out::Restored(snapshot));
+            }
+            Effect::Apply(index, entry) => {
+                let outcome = self.ledger.apply(index, entry.mark, &entry.command);
+                let mark = entry.mark;
+                self.out.push(Out::Applied(index, entry, outcome.clone()));
+                if mark.proposer == self.proposer {
+                    self.decided(mark, &outcome);
+                }
+            }
+            Effect::Readable(token) => {
+                if let Some(call) = self.reads.remove(&token) {
+                    self.out.push(Out::Answer(call, Answer::Read(self.ledger.config.clone())));
+                }
+            }
+            Effect::Unreadable(token) => {
+                if let Some(call) = self.reads.remove(&token) {
+                    self.out.push(Out::Answer(call, Answer::Unclear));
+                }
+            }
+        }
+    }
+
+    fn decided(&mut self, mark: Mark, outcome: &Outcome) {
+        if let Some(proposal) = self.proposals.remove(&mark.serial) {
+            self.out.push(Out::Answer(proposal.call, Answer::Decided(outcome.clone())));
+        }
+    }
+
+    pub fn due(&self, now: Instant) -> Instant {
+        let mut due = self.raft.next_due();
+        if self.wants_to_join() {
+            due = due.min(self.join_due);
+        }
+        self.proposals.values().map(|p| p.due).fold(due, Instant::min).max(now + BREATH)
+    }
+
+    /// Outside the electorate, or a voter that finds no leader: it may have been retired meanwhile.
+    fn wants_to_join(&self) -> bool {
+        self.raft.voters().iter().all(|v| v.id != self.id) || self.raft.leader().is_none()
+    }
+
+    pub fn tick(&mut self, now: Instant, others: &[Ipv4Addr]) {
+        self.raft.tick(now);
+        if now >= self.join_due {
+            self.join_due = now + JOIN;
+            if self.wants_to_join() {
+                for to in others {
+                    self.raft.join(*to, self.in_quorum);
+                }
+            }
+        }
+        self.push_proposals(now);
+    }
+
+    pub fn receive(&mut self, now: Instant, from: Ipv4Addr, wire: Wire) {
+        match wire {
+            Wire::Raft(message) => self.raft.receive(now, message),
+            Wire::Propose { mark, command } => {
+                if self.raft.role() != Role::Leader {
+                    return;
+                }
+                if let Some(outcome) = self.ledger.result(mark).cloned() {
+                    self.out.push(Out::Send(from, Wire::Decided { mark, outcome }, 0));
+                } else {
+                    self.out.push(Out::Send(from, Wire::Heard { mark }, 0));
+                    self.raft.propose(now, mark, command);
+                }
+            }
+            Wire::Heard { mark } => {
+                if let Some(p) = self.proposals.get_mut(&mark.serial).filter(|_| mark.proposer == self.proposer) {
+                    p.due = now + DECIDED_TIMER;
+                }
+            }
+            Wire::Decided { mark, outcome } => {
+                if mark.proposer == self.proposer {
+                    self.decided(mark, &outcome);
+                }
+            }
+        }
+    }
+
+    /// A client's change.
+    pub fn propose(&mut self, now: Instant, call: Call, command: Command) {
+        if self.raft.leader().is_none() {
+            self.out.push(Out::Answer(call, Answer::Unclear));
+            return;
+        }
+        self.serial += 1;
+        self.proposals.insert(self.serial, Proposal { command, call, by: now + ANSWER_BY, due: now });
+        self.push_proposals(now);
+    }
+
+    fn push_proposals(&mut self, now: Instant) {
+        let due: Vec<u64> = self.proposals.iter().filter(|(_, p)| now >= p.due).map(|(s, _)| *s).collect();
+        for serial in due {
+            let mark = Mark { proposer: self.proposer, serial };
+            let Some(proposal) = self.proposals.get_mut(&serial) else { continue };
+            if now >= proposal.by {
+                let call = proposal.call;
+                self.proposals.remove(&serial);
+                self.out.push(Out::Answer(call, Answer::Unclear));
+                continue;
+            }
+            let command = proposal.command.clone();
+            proposal.due = now + HEARD_TIMER;
+            if self.raft.role() == Role::Leader {
+                proposal.due = now + DECIDED_TIMER;
+                self.raft.propose(now, mark, command);
+            } else if let Some(leader) = self.raft.leader() {
+                self.out.push(Out::Send(leader.ip, Wire::Propose { mark, command }, 0));
+            }
+        }
+    }
+
+    /// A client's read of the configuration.
+    pub fn read(&mut self, now: Instant, call: Call) {
+        if self.raft.role() == Role::Leader {
+            self.tokens += 1;
+            self.reads.insert(self.tokens, call);
+            self.raft.read(now, self.tokens);
+            return;
+        }
+        let answer = match self.raft.leader().filter(|l| l.ip != self.ip) {
+            Some(leader) => Answer::Elsewhere(leader.ip),
+            None => Answer::Unclear,
+        };
+        self.out.push(Out::Answer(call, answer));
+    }
+}
+
+pub fn encode(ledger: &Ledger) -> Vec<u8> {
+    bincode::serde::encode_to_vec(ledger, bincode::config::standard()).expect("a ledger can be written")
+}
--- /dev/null
+++ b/brood/tests/model/register.rs
@@ -0,0 +1,218 @@
+//! The judge of clients: the configuration as a register that is changed by compare-and-set. Versions
+//! only rise, so a history is linearizable exactly where each answer fits the versions known before the
+//! call began, and the changes that were taken form one chain. Calls without a clear answer may have
+//! been taken or not. It sees only what clients see.
+
+use super::judge::{Verdict, Violation, broken};
+use super::node::{Answer, Call};
+use brood::version::ledger::{Command, KEPT_DRAINS, Outcome, Version};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+pub type Order = usize;
+
+#[derive(Debug, Clone)]
+pub struct Put {
+    if_match: u64,
+    revision: u64,
+    pub raw: Vec<u8>,
+    /// The newest version known to any client when it was first sent.
+    floor: u64,
+    pub acked: bool,
+    refused: bool,
+}
+
+#[derive(Debug, Clone)]
+pub enum Kind {
+    Put { order: Order, operator: usize, acked_before: bool },
+    Drain { id: String },
+    Read,
+}
+
+#[derive(Debug, Clone)]
+pub struct Open {
+    pub kind: Kind,
+    floor: u64,
+    redirects: u8,
+}
+
+#[derive(Debug, Default)]
+pub struct Register {
+    pub puts: Vec<Put>,
+    open: BTreeMap<Call, Open>,
+    calls: Call,
+    /// The newest version that any client knows of.
+    floor: u64,
+    /// Each operator's: the newest version it knows of, and its last order.
+    operators: Vec<(u64, Option<Order>)>,
+    pub drained: Vec<String>,
+    drains: usize,
+}
+
+/// A resend is known only while not too many changes were taken since.
+const KNOWN_RESENDS: usize = 60;
+
+impl Register {
+    pub fn new(operators: usize) -> Self {
+        Register { operators: vec![(0, None); operators], ..Register::default() }
+    }
+
+    fn begin(&mut self, kind: Kind) -> Call {
+        self.calls += 1;
+        self.open.insert(self.calls, Open { kind, floor: self.floor, redirects: 0 });
+        self.calls
+    }
+
+    /// A new change on top of the newest version that the operator knows.
+    pub fn put(&mut self, operator: usize) -> (Call, Command) {
+        let order = self.puts.len();
+        let if_match = self.operators[operator].0;
+        let revision = if_match + 1;
+        let raw = format!(r#"{{"revision":{revision},"routes":[],"backends":[],"order":{order}}}"#).into_bytes();
+        self.puts.push(Put { if_match, revision, raw, floor: self.floor, acked: false, refused: false });
+        self.operators[operator].1 = Some(order);
+        self.send(operator, order)
+    }
+
+    /// The operator's last change again, as it was.
+    pub fn again(&mut self, operator: usize) -> Option<(Call, Command)> {
+        self.operators[operator].1.map(|order| self.send(operator, order))
+    }
+
+    fn send(&mut self, operator: usize, order: Order) -> (Call, Command) {
+        let put = &self.puts[order];
+        let by = format!("operator-{operator}");
+        let command = Command::Configure { if_match: put.if_match, raw: put.raw.clone(), by, at: Duration::ZERO };
+        let acked_before = put.acked;
+        (self.begin(Kind::Put { order, operator, acked_before }), command)
+    }
+
+    pub fn drain(&mut self) -> (Call, Command) {
+        self.drains += 1;
+        let id = format!("i{}", self.drains);
+        (self.begin(Kind::Drain { id: id.clone() }), Command::Drain { id })
+    }
+
+    pub fn read(&mut self) -> Call {
+        self.begin(Kind::Read)
+    }
+
+    /// A read is sent on; at most twice.
+    pub fn redirected(&mut self, call: Call) -> bool {
+        let Some(open) = self.open.get_mut(&call) else { return false };
+        open.redirects += 1;
+        open.redirects <= 2
+    }
+
+    /// The client has its answer. Says what was acknowledged.
+    pub fn answered(&mut self, call: Call, answer: Answer) -> Result<Option<Kind>, Violation> {
+        let Some(open) = self.open.remove(&call) else { return Ok(None) };
+        match (&open.kind, answer) {
+            (Kind::Put { order, operator, .. }, Answer::Decided(Outcome::Done)) => {
+                self.taken(*order)?;
+                let revision = self.puts[*order].revision;
+                let known = &mut self.operators[*operator].0;
+                *known = (*known).max(revision);
+                Ok(Some(open.kind))
+            }
+            (Kind::Put { order, operator, acked_before }, Answer::Decided(Outcome::Outrun { current })) => {
+                self.refused(*order, *acked_before, open.floor, current)?;
+                self.operators[*operator].0 = self.operators[*operator].0.max(current);
+                Ok(None)
+            }
+            (Kind::Put { order, .. }, Answer::Decided(other)) => {
+                broken("register", format!("order {order} was answered {other:?}")).map(|()| None)
+            }
+            (Kind::Drain { id }, Answer::Decided(_)) => {
+                self.drained.push(id.clone());
+                Ok(Some(open.kind))
+            }
+            (Kind::Read, Answer::Read(version)) => {
+                self.was_read(open.floor, version)?;
+                Ok(Some(open.kind))
+            }
+            _ => Ok(None),
+        }
+    }
+
+    fn taken(&mut self, order: Order) -> Verdict {
+        let put = &mut self.puts[order];
+        if put.acked {
+            return Ok(());
+        }
+        put.acked = true;
+        let put = put.clone();
+        if put.refused {
+            return broken("register", format!("order {order} was refused and then taken"));
+        }
+        if put.if_match < put.floor {
+            let what = format!("order {order} built on {}, and {} was known before", put.if_match, put.floor);
+            return broken("register", what);
+        }
+        self.floor = self.floor.max(put.revision);
+        let apart = |p: &Put| p.revision <= put.if_match || put.revision <= p.if_match;
+        let other = self.puts.iter().enumerate().find(|(at, p)| *at != order && p.acked && !apart(p));
+        match other {
+            Some((other, _)) => {
+                broken("register", format!("orders {other} and {order} were both taken on one version"))
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn refused(&mut self, order: Order, acked_before: bool, floor: u64, current: u64) -> Verdict {
+        let put = &mut self.puts[order];
+        let since = current.saturating_sub(put.revision) as usize;
+        if acked_before && since < KNOWN_RESENDS {
+            return broken("register", format!("order {order} was taken, sent again and refused"));
+        }
+        if current < floor {
+            return broken("register", format!("order {order} was refused by {current}, and {floor} was known before"));
+        }
+        if current == put.if_match {
+            return broken("register", format!("order {order} was refused on the version it builds on"));
+        }
+        put.refused |= !acked_before;
+        self.floor = self.floor.max(current);
+        Ok(())
+    }
+
+    fn was_read(&mut self, floor: u64, version: Option<Version>) -> Verdict {
+        let revision = version.as_ref().map_or(0, |v| v.revision);
+        if revision < floor {
+            return broken("stale read", format!("{revision} was read, and {floor} was known before"));
+        }
+        if let Some(version) = version {
+            let Some(put) = self.puts.iter().find(|p| p.raw == version.raw) else {
+                return broken("register", format!("{revision} was read, which nobody sent"));
+            };
+            if put.refused {
+                return broken("register", format!("{revision} was read, which was refused"));
+            }
+            let skipped = |p: &&Put| p.acked && p.if_match < revision && revision < p.revision;
+            if self.puts.iter().any(|p| skipped(&p)) {
+                return broken("register", format!("{revision} was read, which a taken change leaves no place for"));
+            }
+        }
+        self.floor = self.floor.max(revision);
+        Ok(())
+    }
+
+    /// At rest: what is in force holds all that was told.
+    pub fn in_force(&self, chain: &[Vec<u8>], drains: &VecDeque<String>) -> Verdict {
+        for (order, put) in self.puts.iter().enumerate() {
+            let there = chain.contains(&put.raw);
+            if put.acked && !there {
+                return broken("what was told is lost", format!("order {order}"));
+            }
+            if put.refused && there {
+                return broken("register", format!("order {order} was refused and is in force"));
+            }
+        }
+        let recent = self.drained.iter().rev().take(KEPT_DRAINS / 2);
+        match recent.into_iter().find(|d| !drains.contains(*d)) {
+            Some(gone) => broken("what was told is lost", format!("the drain of {gone}")),
+            None => Ok(()),
+        }
+    }
+}
