--- /dev/null
+++ b/brood/src/process/raft/contact.rs
@@ -0,0 +1,63 @@
+//! How lately a follower's leader was in contact with a majority, proven by the follower's own clock.
+//!
+//! A leader's message may be old when it is read: it was on its way for long, or sender or receiver were frozen.
+//! So each answer carries a nonce, and the leader sends the last one back: a round whose message brings back a
+//! nonce began after that answer was given here. Once the leader says that a majority has answered that round,
+//! it led, and was in contact, at some moment after that answer.
+
+use crate::version::electorate::VoterId;
+use std::collections::VecDeque;
+use std::time::Instant;
+
+/// Answers and rounds remembered.
+const KEPT: usize = 64;
+
+#[derive(Debug, Default)]
+pub(super) struct Contact {
+    /// Whom the answers went to, and in which term.
+    with: (VoterId, u64),
+    /// Nonces of answers, and when each was given.
+    answers: VecDeque<(u32, Instant)>,
+    /// Rounds that began after an answer was given, and when that was.
+    rounds: VecDeque<(u64, Instant)>,
+    /// The newest moment after which a leader was in contact with a majority.
+    at: Option<Instant>,
+}
+
+fn keep<T>(kept: &mut VecDeque<T>, new: T) {
+    kept.push_back(new);
+    if kept.len() > KEPT {
+        kept.pop_front();
+    }
+}
+
+impl Contact {
+    pub fn at(&self) -> Option<Instant> {
+        self.at
+    }
+
+    /// This daemon was in contact with a majority itself.
+    pub fn proven(&mut self, at: Option<Instant>) {
+        self.at = self.at.max(at);
+    }
+
+    /// A leader's message of this round has come, with the nonce of an answer and the newest round that a
+    /// majority answered.
+    pub fn heard(&mut self, with: (VoterId, u64), round: u64, echo: u32, confirmed: u64) {
+        if self.with != with {
+            *self = Contact { with, at: self.at, ..Contact::default() };
+        }
+        if let Some((_, given)) = self.answers.iter().find(|(nonce, _)| *nonce == echo) {
+            let given = *given;
+            keep(&mut self.rounds, (round, given));
+        }
+        let newest = self.rounds.iter().filter(|(round, _)| *round <= confirmed).map(|(_, given)| *given).max();
+        self.at = self.at.max(newest);
+        self.rounds.retain(|(round, _)| *round > confirmed);
+    }
+
+    /// An answer with this nonce is given now.
+    pub fn answers(&mut self, now: Instant, nonce: u32) {
+        keep(&mut self.answers, (nonce, now));
+    }
+}
--- a/brood/src/process/raft/election.rs
+++ b/brood/src/process/raft/election.rs
@@ -10,8 +10,10 @@
 
 /// Bounds of the candidate's timer.
 const CANDIDATE_FLOOR: Duration = Duration::from_millis(20);
-/// Up to 2^this times the candidate timer after candidacies that failed.
+/// Up to 2^this times the candidate timer after candidacies that failed, but no more than so many T: votes that
+/// were lost on a bad link are asked for again soon after it is well.
 pub(super) const BACKOFF_MAX: u32 = 4;
+const BACKOFF_T: u32 = 4;
 /// One that is about to end stands so many times later than the others.
 const LEAVER_LATER: u32 = 4;
 
@@ -21,21 +23,21 @@
     /// added, measured alike.
     pub fn candidate_timeout(&self) -> Duration {
         if self.broadcast.is_empty() && self.syncs.is_empty() {
-            return self.timing.t;
+            return self.parameters.t;
         }
         let measured = bound(&self.broadcast) + 2 * bound(&self.syncs);
-        measured.max(CANDIDATE_FLOOR).min(self.timing.t * 2)
+        measured.max(CANDIDATE_FLOOR).min(self.parameters.t * 2)
     }
 
     fn arm_candidate(&mut self, now: Instant) {
-        let base = self.candidate_timeout() * 2u32.pow(self.backoff);
+        let base = (self.candidate_timeout() * 2u32.pow(self.backoff)).min(self.parameters.t * BACKOFF_T);
         self.due = now + jitter(&mut self.rng, base);
     }
 
     /// Follower timeouts come from U(T, 2T).
     pub(super) fn arm_follower(&mut self, now: Instant) {
         let times = if self.leaving.is_some() { LEAVER_LATER } else { 1 };
-        self.due = now + jitter(&mut self.rng, self.timing.t) * times;
+        self.due = now + jitter(&mut self.rng, self.parameters.t) * times;
     }
 
     fn has_majority(&self, votes: &BTreeSet<VoterId>) -> bool {
@@ -97,6 +99,7 @@
         }
         if self.role == Role::Leader {
             self.drop_reads();
+            self.contact.proven(self.leading.confirmed);
             self.leading = Leading::default();
         }
         self.role = Role::Follower;
@@ -107,7 +110,7 @@
     pub(super) fn pre_vote_asked(&mut self, now: Instant, from: Voter, term: u64, last: (u64, u64)) {
         // One that still hears its leader does not help to unseat it.
         let content =
-            self.role == Role::Leader || self.heard_leader.is_some_and(|h| now.duration_since(h) < self.timing.t);
+            self.role == Role::Leader || self.heard_leader.is_some_and(|h| now.duration_since(h) < self.parameters.t);
         let granted = !content && term >= self.term && self.up_to_date(last);
         self.send(from, Body::PreVoteAnswer { granted });
         if self.role == Role::Leader && !self.log.electorate().has(from.id) {
@@ -161,7 +164,7 @@
 
     /// A leader that no majority answers steps down (ours).
     pub(super) fn check_quorum(&mut self, now: Instant) {
-        let patience = self.timing.t * 2;
+        let patience = self.parameters.t * 2;
         if self.leading.since.is_some_and(|s| now.duration_since(s) < patience) {
             return;
         }
@@ -176,7 +179,7 @@
     /// to an electorate that it is not in. It takes no proposals then, so that somebody catches up with it.
     pub(super) fn hands_on(&self, now: Instant) -> bool {
         let out = || !self.is_voter() && self.commit >= self.log.electorate_index();
-        let silent = || self.disk_silent(now) > self.timing.t * 2;
+        let silent = || self.disk_silent(now) > self.parameters.t * 2;
         self.role == Role::Leader && (self.leaving.is_some() || silent() || out())
     }
 
@@ -186,7 +189,7 @@
         if !self.hands_on(now) {
             return;
         }
-        let (last, patience) = (self.log.last_index(), self.timing.t * 2);
+        let (last, patience) = (self.log.last_index(), self.parameters.t * 2);
         let level = |v: &&Voter| {
             let peer = self.leading.peers.get(&v.id);
             peer.is_some_and(|p| {
--- a/brood/src/process/raft/log.rs
+++ b/brood/src/process/raft/log.rs
@@ -1,15 +1,13 @@
 //! The log in memory: a snapshot, and entries from somewhat before it on.
 
 use super::{Entry, Snapshot, Stored};
-use crate::version::electorate::Electorate;
+use crate::version::electorate::{Electorate, VoterId};
 use crate::version::ledger::Command;
 use std::collections::VecDeque;
 
-/// Entries kept behind the snapshot, so that whoever is a little behind needs no snapshot: so many, and so
-/// many bytes of them.
-const TAIL_ENTRIES: u64 = 1024;
+/// Bytes of entries kept behind the snapshot, so that whoever is a little behind needs no snapshot; and while
+/// a live follower still wants them.
 const TAIL_BYTES: usize = 1 << 20;
-/// Bytes of them at most while a live follower still wants them.
 const TAIL_BYTES_WANTED: usize = 16 << 20;
 
 pub(super) struct Log {
@@ -89,6 +87,16 @@
         self.electorate_index
     }
 
+    /// Whether this voter was in the electorate before the newest one.
+    pub fn was_voter(&self, id: VoterId) -> bool {
+        let before =
+            (self.snapshot.index + 1..self.electorate_index).rev().find_map(|at| match &self.entry(at)?.command {
+                Command::Voters { electorate } => Some(electorate),
+                _ => None,
+            });
+        before.unwrap_or(&self.snapshot.electorate).has(id)
+    }
+
     /// To be called whenever the log's end or the snapshot changed.
     fn find_electorate(&mut self) {
         let newer = self.last_index() - self.snapshot.index;
@@ -132,13 +140,13 @@
         self.find_electorate();
     }
 
-    /// Drops what lies further behind the snapshot than is worth keeping; `wanted`: a live follower wants the
+    /// Drops what lies further behind the snapshot than is worth keeping, so many entries at most; `wanted`: a live follower wants the
     /// entries after this one. Gives the last entry dropped, if any was.
-    pub fn trim(&mut self, wanted: Option<u64>) -> Option<u64> {
+    pub fn trim(&mut self, entries: u64, wanted: Option<u64>) -> Option<u64> {
         let (mut to, mut bytes) = (self.snapshot.index, 0);
         while to > self.base_index {
             bytes += self.entry(to).map_or(0, Entry::size);
-            let worth = bytes <= TAIL_BYTES && self.snapshot.index - to < TAIL_ENTRIES;
+            let worth = bytes <= TAIL_BYTES && self.snapshot.index - to < entries;
             let needed = bytes <= TAIL_BYTES_WANTED && wanted.is_some_and(|w| w < to);
             if !worth && !needed {
                 break;
--- a/brood/src/process/raft/membership.rs
+++ b/brood/src/process/raft/membership.rs
@@ -2,7 +2,7 @@
 
 use super::replication::Peer;
 use super::{Body, Raft, Role};
-use crate::version::electorate::{Voter, VoterId};
+use crate::version::electorate::{Electorate, Voter, VoterId};
 use crate::version::ledger::{Command, Mark};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
@@ -30,17 +30,14 @@
     target: u64,
     /// What the last whole lap took.
     took: Option<Duration>,
-    /// Nothing was missing at the last answer.
-    level: bool,
 }
 
 impl Lap {
     pub fn new(now: Instant, target: u64) -> Self {
-        Lap { began: now, target, took: None, level: false }
+        Lap { began: now, target, took: None }
     }
 
     pub fn reached(&mut self, now: Instant, matched: u64, last: u64) {
-        self.level = matched >= last;
         if matched >= self.target {
             self.took = Some(now.duration_since(self.began));
             (self.began, self.target) = (now, last);
@@ -48,8 +45,7 @@
     }
 
     fn is_short(&self, now: Instant, bound: Duration) -> bool {
-        let short = self.took.is_some_and(|t| t <= bound) && now.duration_since(self.began) <= bound;
-        self.level || short
+        self.took.is_some_and(|t| t <= bound) && now.duration_since(self.began) <= bound
     }
 }
 
@@ -59,10 +55,20 @@
         self.log.electorate().all()
     }
 
+    pub fn electorate(&self) -> &Electorate {
+        self.log.electorate()
+    }
+
     pub fn is_voter(&self) -> bool {
         self.log.electorate().has(self.me.id)
     }
 
+    /// One that is not in the newest electorate stands all the same until that is known to be committed: it may
+    /// be the only one to hold it, and others, who want its vote, hold less.
+    pub(super) fn may_stand(&self) -> bool {
+        self.is_voter() || (self.commit < self.log.electorate_index() && self.log.was_voter(self.me.id))
+    }
+
     pub(super) fn others(&self) -> Vec<Voter> {
         self.voters().into_iter().filter(|v| v.id != self.me.id).collect()
     }
@@ -90,16 +96,17 @@
     }
 
     /// One step towards the electorate that should be. The next one is begun only when the one before it and
-    /// an entry of the own term are committed; `docs/raft.md` tells why this is safe.
+    /// an entry of the own term are committed, and while a majority follows; `docs/raft.md` tells why this is safe.
     pub(super) fn settle_membership(&mut self, now: Instant) {
-        let settled = self.commit >= self.leading.first && self.commit >= self.log.electorate_index();
-        if self.role != Role::Leader || !settled || self.hands_on(now) {
+        let settled = self.confirmed(now) && self.commit >= self.log.electorate_index();
+        let able = self.is_voter() && self.disk_silent(now) <= self.parameters.t * 2;
+        if self.role != Role::Leader || !settled || !able {
             return;
         }
         let electorate = self.log.electorate().clone();
         self.leading.peers.retain(|id, p| electorate.has(*id) || silence(p, now) < OUTSIDER_GONE);
         let next = if electorate.is_joint() {
-            crate::version::electorate::Electorate::of(electorate.voters)
+            Electorate::of(electorate.voters)
         } else {
             match self.wanted_voters(now) {
                 Some(voters) => electorate.towards(voters),
@@ -115,11 +122,11 @@
         let peers = &self.leading.peers;
         let votes = |id: VoterId| voters.iter().any(|v| v.id == id);
         let outside = || peers.iter().filter(|(id, p)| p.wants && !votes(**id));
-        let lap = self.timing.t * LAP;
+        let (lap, last) = (self.parameters.t * LAP, self.log.last_index());
         let ready = outside().filter(|(_, p)| {
             p.heard.is_some_and(|h| now.duration_since(h) < READY_WITHIN)
                 && !self.is_leaving(p, now)
-                && p.lap.is_short(now, lap)
+                && (p.matched >= last || p.lap.is_short(now, lap))
         });
         let mut ready: Vec<Voter> = ready.map(|(id, p)| Voter { id: *id, ip: p.ip }).collect();
 
@@ -129,7 +136,7 @@
             let Some(peer) = peers.get(&voter.id) else { continue };
             let silent = silence(peer, now);
             // Two identities at one address: the disk there is new, and the voter that was on it is no more.
-            let wiped = silent > self.timing.t * 2 && outside().any(|(_, p)| p.ip == voter.ip && p.heard.is_some());
+            let wiped = silent > self.parameters.t * 2 && outside().any(|(_, p)| p.ip == voter.ip && p.heard.is_some());
             let rank = match () {
                 () if wiped => 0,
                 () if self.is_leaving(peer, now) => 1,
@@ -167,7 +174,7 @@
             next.extend(ready.by_ref().take(wanted));
         }
         // Nobody goes without another in the place, unless the tolerance needs fewer.
-        let needed = 2 * self.timing.tolerance + 1;
+        let needed = 2 * self.parameters.tolerance + 1;
         let mut left = left.into_iter();
         loop {
             let spared = if next.len().is_multiple_of(2) { 1 } else { 2 };
@@ -184,7 +191,7 @@
     // ---- leaving ----------------------------------------------------------------------------
 
     fn is_leaving(&self, peer: &Peer, now: Instant) -> bool {
-        peer.leaving.is_some_and(|at| now.duration_since(at) < self.timing.t * LEAVING)
+        peer.leaving.is_some_and(|at| now.duration_since(at) < self.parameters.t * LEAVING)
     }
 
     /// This daemon is about to end: a leader takes no more proposals, lets another catch up and hands on;
@@ -200,11 +207,12 @@
     /// Whether others can go on without this daemon as well as they ever will.
     pub fn may_end(&self) -> bool {
         let alone = self.others().is_empty();
-        self.leaving.is_some() && (self.left || alone || (!self.is_voter() && self.role != Role::Leader))
+        let out = !self.is_voter() && self.commit >= self.log.electorate_index() && self.role != Role::Leader;
+        self.leaving.is_some() && (self.left || alone || out)
     }
 
     pub(super) fn ask_to_leave(&mut self, now: Instant) {
-        self.leave_due = Some(now + self.timing.t / 2);
+        self.leave_due = Some(now + self.parameters.t / 2);
         if self.role == Role::Leader {
             self.hand_on(now);
         } else if let Some(leader) = self.leader.filter(|l| l.id != self.me.id) {
@@ -224,8 +232,8 @@
         self.settle_membership(now);
         let electorate = self.log.electorate();
         let under_way = self.commit < self.log.electorate_index() || electorate.is_joint();
-        let young = self.leading.since.is_none_or(|s| now.duration_since(s) < self.timing.t * SETTLED);
-        let live = |p: &Peer| p.heard.is_some_and(|h| now.duration_since(h) < self.timing.t * 2);
+        let young = self.leading.since.is_none_or(|s| now.duration_since(s) < self.parameters.t * SETTLED);
+        let live = |p: &Peer| p.heard.is_some_and(|h| now.duration_since(h) < self.parameters.t * 2);
         let commit = self.commit;
         let others = || electorate.voters.iter().filter(|v| v.id != from.id);
         let holds = |v: &&Voter| match v.id == self.me.id {
@@ -234,7 +242,7 @@
         };
         let lives = |v: &&Voter| v.id == self.me.id || self.leading.peers.get(&v.id).is_some_and(live);
         // Where fewer are left than that, all of them.
-        let copies = (self.timing.tolerance + 1).min(others().filter(lives).count());
+        let copies = (self.parameters.tolerance + 1).min(others().filter(lives).count());
         let safe = others().filter(holds).count() >= copies;
         if !under_way && safe && (!electorate.has(from.id) || !young) {
             self.send(from, Body::Left);
--- a/brood/src/process/raft/mod.rs
+++ b/brood/src/process/raft/mod.rs
@@ -3,6 +3,7 @@
 //! The caller performs the outputs in order, with one rule that carries the safety: a message names
 //! the [`Effect::Write`] that it rests on, and is let out only once that write is durable.
 
+mod contact;
 mod election;
 mod log;
 mod membership;
@@ -16,6 +17,7 @@
 pub use wire::{Body, Message, SnapshotId};
 
 use crate::version::electorate::{Voter, VoterId};
+use contact::Contact;
 use election::BACKOFF_MAX;
 use log::Log;
 use replication::Leading;
@@ -50,18 +52,29 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-pub struct Timing {
+pub struct Parameters {
     /// T of the paper: follower timeouts come from U(T, 2T), heartbeats go every T/2.
     pub t: Duration,
     /// A leader counts as confirmed for this long after a round that a majority answered began.
     pub confirm: Duration,
     /// How many disks may be lost at once: what is committed is on more of them.
     pub tolerance: usize,
+    /// Entries that stay in the log behind a snapshot.
+    pub tail_entries: u64,
+    /// Bytes of one piece of a snapshot on its way.
+    pub piece_bytes: usize,
+}
+
+impl Parameters {
+    /// With the usual tail and pieces.
+    pub fn new(t: Duration, confirm: Duration, tolerance: usize) -> Self {
+        Parameters { t, confirm, tolerance, tail_entries: 1024, piece_bytes: 64 * 1024 }
+    }
 }
 
 pub struct Raft {
     me: Voter,
-    timing: Timing,
+    parameters: Parameters,
     term: u64,
     vote: Option<VoterId>,
     log: Log,
@@ -72,6 +85,7 @@
     /// What is applied here was current at some moment of this process's life; after a start it is only
     /// what the last snapshot held.
     current: bool,
+    contact: Contact,
     durable: u64,
     writes: u64,
     /// The newest write of term and vote.
@@ -107,20 +121,21 @@
 }
 
 impl Raft {
-    pub fn new(now: Instant, me: Ipv4Addr, timing: Timing, stored: Stored, mut rng: fastrand::Rng) -> Self {
-        let due = now + jitter(&mut rng, timing.t);
+    pub fn new(now: Instant, me: Ipv4Addr, parameters: Parameters, stored: Stored, mut rng: fastrand::Rng) -> Self {
+        let due = now + jitter(&mut rng, parameters.t);
         let (id, term, vote) = (stored.id, stored.term, stored.vote);
         let log = Log::new(stored);
         let covered = log.snapshot.index;
         let mut raft = Raft {
             me: Voter { id, ip: me },
-            timing,
+            parameters,
             term,
             vote,
             commit: covered,
             applied: covered,
             fresh_bytes: 0,
             current: false,
+            contact: Contact::default(),
             durable: log.last_index(),
             log,
             writes: 0,
@@ -185,8 +200,14 @@
         (self.role == Role::Leader).then_some(self.leading.since).flatten()
     }
 
-    /// Whether the state here has been current since the start: a leader has committed an entry of its
-    /// own term, and all of what it had committed is applied here.
+    /// A moment after which the leader that this daemon goes by, itself perhaps, was in contact with a
+    /// majority; by this daemon's own clock, however long messages were on their way.
+    pub fn contact(&self) -> Option<Instant> {
+        self.contact.at().max(self.leading.confirmed)
+    }
+
+    /// Whether the state here has been current since the start: a leader that was in contact with a majority
+    /// since then has committed an entry of its own term, and all of what it had committed is applied here.
     pub fn current(&self) -> bool {
         self.current
     }
@@ -234,6 +255,7 @@
             }
             // A leader's messages rest on its term alone: it counts itself only for what is durable.
             Body::AppendEntries { .. } | Body::InstallSnapshot { .. } | Body::Succeed | Body::Left => self.hard_write,
+            Body::Deposed => self.hard_write,
             Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Join { .. } | Body::Leave => 0,
         };
         let message = Message { from: self.me, to: to.id, term: self.term, body };
@@ -274,8 +296,8 @@
             return;
         }
         // One whose disk hangs could not vote for itself either.
-        if !self.is_voter() || self.disk_silent(now) > self.timing.t * 2 {
-            self.due = now + jitter(&mut self.rng, self.timing.t) * 2;
+        if !self.may_stand() || self.disk_silent(now) > self.parameters.t * 2 {
+            self.due = now + jitter(&mut self.rng, self.parameters.t) * 2;
             return;
         }
         match self.role {
@@ -341,37 +363,40 @@
         match body {
             Body::RequestVote { last_index, last_term } => self.vote_asked(now, from, term, (last_index, last_term)),
             Body::Vote { granted } => self.voted(now, from, term, granted),
-            Body::AppendEntries { round, prev_index, prev_term, entries, commit } => {
+            Body::AppendEntries { round, prev_index, prev_term, entries, commit, echo, confirmed } => {
                 if term < self.term {
-                    self.send(from, Body::Appended { round, success: false, index: 0 });
-                    return;
+                    return self.send(from, Body::Deposed);
                 }
                 self.hear(now, from);
+                self.contact.heard((from.id, term), round, echo, confirmed);
                 let (success, index) = self.take(prev_index, prev_term, entries);
                 if success {
                     self.commit_to(commit.min(index));
-                    self.current |= self.commit >= commit && self.log.term_at(self.commit) == Some(self.term);
+                    let whole = self.commit >= commit && self.log.term_at(self.commit) == Some(self.term);
+                    self.current |= whole && self.contact.at().is_some();
                 }
-                self.send(from, Body::Appended { round, success, index });
+                self.answer(from, round, success, index);
             }
             Body::InstallSnapshot { round, of, offset, bytes } => {
                 if term < self.term {
-                    return;
+                    return self.send(from, Body::Deposed);
                 }
                 self.hear(now, from);
-                let answer = match self.take_piece(of, offset, &bytes) {
-                    Some(offset) => Body::SnapshotTaken { round, of, offset },
-                    None => Body::Appended { round, success: true, index: self.commit },
-                };
-                self.send(from, answer);
+                match self.take_piece(of, offset, &bytes) {
+                    Some(offset) => self.send(from, Body::SnapshotTaken { round, of, offset }),
+                    None => self.answer(from, round, true, self.commit),
+                }
             }
-            Body::Appended { round, success, index } if self.leads(term) => {
-                self.appended(now, from, round, success, index)
+            Body::Appended { round, success, index, nonce } if self.leads(term) => {
+                if let Some(peer) = self.leading.peers.get_mut(&from.id) {
+                    peer.echo = nonce;
+                }
+                self.appended(now, from, round, success, index);
             }
             Body::SnapshotTaken { round, of, offset } if self.leads(term) => {
                 self.snapshot_taken(now, from, round, of, offset)
             }
-            Body::Succeed if term == self.term && self.role == Role::Follower && self.is_voter() => {
+            Body::Succeed if term == self.term && self.role == Role::Follower && self.may_stand() => {
                 self.election_began = now;
                 self.stand(now);
             }
@@ -380,6 +405,12 @@
         }
     }
 
+    fn answer(&mut self, leader: Voter, round: u64, success: bool, index: u64) {
+        let nonce = self.rng.u32(1..);
+        self.contact.answers(self.clock, nonce);
+        self.send(leader, Body::Appended { round, success, index, nonce });
+    }
+
     fn leads(&self, term: u64) -> bool {
         self.role == Role::Leader && term == self.term
     }
--- a/brood/src/process/raft/replication.rs
+++ b/brood/src/process/raft/replication.rs
@@ -32,8 +32,9 @@
     pub leaving: Option<Instant>,
     pub next: u64,
     pub matched: u64,
-    /// Newest round answered.
+    /// Newest round answered, and the nonce of the last answer.
     pub round: u64,
+    pub echo: u32,
     pub heard: Option<Instant>,
     /// Entries on their way; no more until they are answered or seem lost.
     pub flying: Option<Flying>,
@@ -82,6 +83,7 @@
             next,
             matched: 0,
             round: 0,
+            echo: 0,
             heard: None,
             flying: None,
             sending: None,
@@ -142,7 +144,7 @@
         if self.leading.rounds.len() > ROUNDS {
             self.leading.rounds.pop_front();
         }
-        self.leading.beat_due = Some(now + self.timing.t / 2);
+        self.leading.beat_due = Some(now + self.parameters.t / 2);
         let ids: Vec<VoterId> = self.leading.peers.keys().copied().collect();
         for id in ids {
             self.replicate(now, id, true);
@@ -153,18 +155,18 @@
 
     /// Sends a peer what it lacks, as far as nothing is on its way already; `beat`: something in any case.
     pub(super) fn replicate(&mut self, now: Instant, id: VoterId, beat: bool) {
-        let (round, commit) = (self.leading.round, self.commit);
+        let (round, commit, confirmed) = (self.leading.round, self.commit, self.leading.confirmed_round);
         let (base_index, base_term) = self.log.base();
         let Some(peer) = self.leading.peers.get_mut(&id) else { return };
         let to = Voter { id, ip: peer.ip };
-        let patience = self.timing.t * UNANSWERED;
+        let patience = self.parameters.t * UNANSWERED;
         if peer.flying.is_some_and(|f| now.duration_since(f.since) > patience) {
             peer.flying = None;
         }
         if peer.next <= base_index {
             if beat {
-                let (prev_index, prev_term) = (base_index, base_term);
-                self.send(to, Body::AppendEntries { round, prev_index, prev_term, entries: Vec::new(), commit });
+                let (prev_index, prev_term, entries, echo) = (base_index, base_term, Vec::new(), peer.echo);
+                self.send(to, Body::AppendEntries { round, prev_index, prev_term, entries, commit, echo, confirmed });
             }
             self.send_snapshot(now, to);
             return;
@@ -187,8 +189,8 @@
         if !entries.is_empty() {
             peer.flying = Some(Flying { round, last: prev_index + entries.len() as u64, since: now });
         }
-        let prev_term = self.log.term_at(prev_index).unwrap_or(0);
-        self.send(to, Body::AppendEntries { round, prev_index, prev_term, entries, commit });
+        let (prev_term, echo) = (self.log.term_at(prev_index).unwrap_or(0), peer.echo);
+        self.send(to, Body::AppendEntries { round, prev_index, prev_term, entries, commit, echo, confirmed });
     }
 
     /// Whether a majority has answered a round begun within the confirmation span, and an entry of
@@ -196,7 +198,7 @@
     pub fn confirmed(&self, now: Instant) -> bool {
         self.role == Role::Leader
             && self.commit >= self.leading.first
-            && self.leading.confirmed.is_some_and(|t| now < t + self.timing.confirm)
+            && self.leading.confirmed.is_some_and(|t| now < t + self.parameters.confirm)
     }
 
     fn confirm_round(&mut self, now: Instant) {
@@ -247,7 +249,7 @@
             true => self.durable,
             false => self.leading.peers.get(&id).map_or(0, |p| p.matched),
         };
-        let index = self.log.electorate().reached(self.timing.tolerance, held);
+        let index = self.log.electorate().reached(self.parameters.tolerance, held);
         if index > self.commit && self.log.term_at(index) == Some(self.term) {
             self.commit_to(index);
             self.current = true;
--- a/brood/src/process/raft/snapshot.rs
+++ b/brood/src/process/raft/snapshot.rs
@@ -12,8 +12,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Bytes in one piece.
-const PIECE: usize = 64 * 1024;
 /// A snapshot longer than this is nobody's.
 const LENGTH_MAX: u64 = 16 << 20;
 /// Entries applied since the last snapshot, and their bytes, from which on another is worth taking.
@@ -63,7 +61,7 @@
 impl Raft {
     /// Sends the next piece, unless one is on its way.
     pub(super) fn send_snapshot(&mut self, now: Instant, to: Voter) {
-        let patience = self.timing.t * 2;
+        let patience = self.parameters.t * 2;
         let round = self.leading.round;
         if self.leading.peers.get(&to.id).is_none_or(|p| p.heard.is_none()) {
             // Nobody is there to take it yet, as far as is known.
@@ -85,7 +83,7 @@
         sending.sent = Some(now);
         let (of, offset) = (sending.of, sending.offset);
         let from = (offset as usize).min(sending.whole.bytes.len());
-        let bytes = sending.whole.bytes[from..].iter().take(PIECE).copied().collect();
+        let bytes = sending.whole.bytes[from..].iter().take(self.parameters.piece_bytes).copied().collect();
         self.send(to, Body::InstallSnapshot { round, of, offset, bytes });
     }
 
@@ -152,7 +150,7 @@
         }
         (self.commit, self.applied) = (snapshot.index, snapshot.index);
         self.fresh_bytes = 0;
-        let trim = self.log.trim(None);
+        let trim = self.log.trim(self.parameters.tail_entries, None);
         self.write(Write { reset: !fits, trim, snapshot: Some(snapshot.clone()), ..Write::default() });
         self.out.push(Effect::Restore(snapshot));
     }
@@ -166,7 +164,7 @@
         self.log.compact(self.applied, state);
         self.packed = None;
         self.fresh_bytes = 0;
-        let trim = self.log.trim(self.wanted());
+        let trim = self.log.trim(self.parameters.tail_entries, self.wanted());
         let snapshot = Some(self.log.snapshot.clone());
         self.write(Write { snapshot, trim, ..Write::default() });
     }
--- a/brood/src/process/raft/wire.rs
+++ b/brood/src/process/raft/wire.rs
@@ -35,12 +35,20 @@
         prev_term: u64,
         entries: Vec<Entry>,
         commit: u64,
+        /// The nonce of the receiver's last answer, and the newest round that a majority answered: from these it
+        /// tells how lately the leader was in contact with one (`contact.rs`).
+        echo: u32,
+        confirmed: u64,
     },
     Appended {
         round: u64,
         success: bool,
         index: u64,
+        nonce: u32,
     },
+    /// A leader of an older term is told so. Not by `Appended`: it may lead the newer one by now, and would
+    /// take the round for one of this lead's.
+    Deposed,
     /// A part of a snapshot.
     InstallSnapshot {
         round: u64,
--- a/brood/src/process/royal.rs
+++ b/brood/src/process/royal.rs
@@ -2,7 +2,7 @@
 
 use super::dance::{Dance, Grant};
 use super::duties::{self, Duties, Probed, Scene};
-use super::raft::{self, Raft, Role, Snapshot, Stored, Timing, Write};
+use super::raft::{self, Parameters, Raft, Role, Snapshot, Stored, Write};
 use super::registry::{self, Beat, Registry};
 use super::relay::Relay;
 use super::repair::{Fact, Instance, Value};
@@ -143,9 +143,9 @@
         };
         let seeds: Vec<Ipv4Addr> = settings.seed_nodes.iter().map(|s| *s.ip()).collect();
         let t = Duration::from_millis(settings.election.t_ms);
-        let timing = Timing { t, confirm: CONFIRM, tolerance: settings.tolerance.machines };
+        let parameters = Parameters::new(t, CONFIRM, settings.tolerance.machines);
         let proposer = rng.u64(1..);
-        let raft = Raft::new(now, settings.ip, timing, stored, rng.fork());
+        let raft = Raft::new(now, settings.ip, parameters, stored, rng.fork());
         let relay =
             Relay::new(now, Views::new(card.clone(), rng.fork()), seeds.clone(), true, settings.limits.link_mbps);
         let beat = Duration::from_millis(settings.beat_ms);
--- a/brood/tests/cluster/mod.rs
+++ b/brood/tests/cluster/mod.rs
@@ -1,6 +1,6 @@
 //! A few queens' logs on simulated time: links that keep order, disks that take their time.
 
-use brood::process::raft::{Body, Effect, Message, Raft, Role, Stored, Timing, Write};
+use brood::process::raft::{Body, Effect, Message, Parameters, Raft, Role, Stored, Write};
 use brood::version::electorate::Voter;
 use brood::version::ledger::{Command, Ledger, Mark, Outcome};
 use std::cmp::Reverse;
@@ -116,9 +116,9 @@
 
     pub fn start(&mut self, n: usize) {
         let (now, rng) = (self.at(), self.rng.fork());
-        let timing = Timing { t: T, confirm: ms(400), tolerance: self.tolerance };
+        let parameters = Parameters::new(T, ms(400), self.tolerance);
         let node = &mut self.nodes[n];
-        node.raft = Some(Raft::new(now, address(n), timing, node.disk.clone(), rng));
+        node.raft = Some(Raft::new(now, address(n), parameters, node.disk.clone(), rng));
         node.life += 1;
         (node.ledger, node.durable, node.syncing) = (Ledger::default(), 0, 0);
         let life = node.life;
