An electorate grows only with all its voters there, and is never smaller than the tolerance needs

Causes, all found by the model test and laid out in its known schedules: - An odd electorate took two newcomers as soon as both stood ready, also while a voter was gone and not yet missed. A newcomer counts as ready 0.5 s after it was last heard, so with its disk lost, or it replaced in its turn, its old identity was admitted: {0,1,2} with 1 gone became {0,1,2,X} with X gone too, and two of four elect nobody. Shrunk: three machines, one replaced, its successor's disk lost 0.7 s later, rest. - A silent voter was retired from an odd electorate only while exactly one newcomer stood ready; with two, both came in beside the silent ones. - With tolerance.machines 2, three founders of which one was cut off for 1.5 s retired it. The two that were left could not commit that, nor anything else, with everybody back. Shrunk: one cut of 2.4 s in the first second, rest. Before: each was the end for good of all changes, within what the tolerance allows. After: two newcomers are taken only when every voter has answered a round begun after both asked; a silent voter is retired for any newcomer that is ready; nobody is retired from tolerance + 1 voters. The rule of (two silent ones retired with nobody ready) is no longer needed and goes. Conclusion: the four known schedules fail each without its part, and hold with all.

--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -184,8 +184,9 @@
 #[derive(Debug)]
 struct Peer {
     ip: Ipv4Addr,
-    /// Sent the log since then.
+    /// Sent the log since then, and the newest round at that time.
     since: Instant,
+    since_round: u64,
     /// Outside the electorate, it asked to be admitted.
     wants: bool,
     next: u64,
@@ -562,8 +563,17 @@
     }
 
     fn add_peer(&mut self, now: Instant, peer: Voter, next: u64) {
-        let fresh =
-            Peer { ip: peer.ip, since: now, wants: false, next, matched: 0, round: 0, heard: None, flying: None };
+        let fresh = Peer {
+            ip: peer.ip,
+            since: now,
+            since_round: self.leading.round,
+            wants: false,
+            next,
+            matched: 0,
+            round: 0,
+            heard: None,
+            flying: None,
+        };
         self.leading.peers.insert(peer.id, fresh);
     }
 
@@ -1082,20 +1092,27 @@
             .filter(|v| v.id != self.me.id)
             .max_by_key(|v| voter_silence(v))
             .filter(|v| voter_silence(v) > RETIRE_AFTER);
-        let gone = voters.iter().filter(|v| v.id != self.me.id && voter_silence(v) > RETIRE_AFTER).count();
         let even = voters.len().is_multiple_of(2);
         let full = voters.len() >= VOTERS_MAX;
+        // An electorate without more voters than may be lost could not even commit that it is in force.
+        let enough = voters.len() > self.timing.tolerance + 1;
+        // Two more voters raise the majority, so nobody may be missing, also nobody whose successor one of
+        // them is: each voter has answered a round begun after the newcomers asked.
+        let asked = ready.iter().filter_map(|r| peers.get(&r.id)).map(|p| p.since_round).max().unwrap_or(0);
+        let answered = |p: &Peer| p.round > asked && silent(p) < READY_WITHIN;
+        let all_here = voters.iter().all(|v| v.id == self.me.id || peers.get(&v.id).is_some_and(answered));
         let spare = voters.len() > 2 * self.timing.tolerance + 1;
         let newcomer = ready.iter().find(|r| voters.iter().all(|v| v.ip != r.ip));
         let retired = match (wiped, longest) {
+            _ if !enough => None,
             (Some(old), _) => Some(old),
-            (None, Some(old)) if !even && (ready.len() == 1 || (full && !ready.is_empty())) => Some(old),
-            (None, Some(old)) if (even || gone > 1) && ready.is_empty() && spare => Some(old),
+            (None, Some(old)) if !even && !ready.is_empty() => Some(old),
+            (None, Some(old)) if even && ready.is_empty() && spare => Some(old),
             _ => None,
         };
         let next: Vec<Voter> = if let Some(old) = retired {
             voters.iter().copied().filter(|v| v.id != old.id).collect()
-        } else if let Some(new) = newcomer.filter(|_| (even || ready.len() > 1) && !full) {
+        } else if let Some(new) = newcomer.filter(|_| (even || (ready.len() > 1 && all_here)) && !full) {
             let mut next = voters.clone();
             next.push(*new);
             next.sort_unstable();
