--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -585,6 +585,9 @@
             self.write_hard();
         }
         if self.role == Role::Leader {
+            // A late vote must not let it lead the same term again: answers to the rounds of the first time
+            // would count for those of the second.
+            self.votes.clear();
             for (token, _) in std::mem::take(&mut self.leading.reads) {
                 self.out.push(Effect::Unreadable(token));
             }
@@ -913,7 +916,8 @@
             }
             Body::AppendEntries { round, prev_index, prev_term, entries, commit } => {
                 if term < self.term {
-                    self.send(from, Body::Appended { round, success: false, index: 0 });
+                    // No round: its sender may lead a later term by now, which has rounds of its own.
+                    self.send(from, Body::Appended { round: 0, success: false, index: 0 });
                     return;
                 }
                 self.hear(now, from);
--- a/brood/tests/model/main.rs
+++ b/brood/tests/model/main.rs
@@ -12,6 +12,7 @@
 //! `MODEL_SEED` begins at another seed, `MODEL_THREADS` says on how many threads, `MODEL_SHRINK` how many runs
 //! are spent on shrinking, and `MODEL_TELL` prints the shrunk run step by step.
 
+mod by_hand;
 mod disk;
 mod judge;
 mod known;
--- a/brood/tests/model/world.rs
+++ b/brood/tests/model/world.rs
@@ -56,6 +56,8 @@
     unsafe_yet: bool,
     /// Until then it counts as lost for other trouble: a while after it is over.
     lost_until: Duration,
+    /// It said that it leaves, and its process is about to end.
+    leaving: bool,
     /// What happens to a frozen machine waits here.
     frozen: Option<Vec<Event>>,
     /// How far its clock is ahead.
@@ -183,6 +185,7 @@
             gone: false,
             unsafe_yet: true,
             lost_until: Duration::ZERO,
+            leaving: false,
             frozen: None,
             ahead: Duration::ZERO,
             armed: None,
@@ -332,6 +335,7 @@
     fn stop(&mut self, slot: Slot, kept: Kept) -> Verdict {
         let machine = &mut self.machines[slot];
         machine.life += 1;
+        machine.leaving = false;
         machine.frozen = None;
         machine.sync += 1;
         machine.disk.crash(kept);
@@ -636,6 +640,7 @@
                 let slot = self.slot(who);
                 self.act(slot, |node, now| node.raft.leave(now))?;
                 self.troubled(slot, FAREWELL + down);
+                self.machines[slot].leaving = true;
                 let life = self.machines[slot].life;
                 self.after(FAREWELL, Event::Ends(slot, life));
                 self.after(FAREWELL + down, Event::Starts(slot, life + 1));
@@ -730,6 +735,9 @@
                 self.after(ms(1), event);
             }
             self.thaw(slot)?;
+            if self.machines[slot].leaving {
+                self.stop(slot, Kept::All)?;
+            }
             self.start(slot)?;
         }
         self.resting = Some(false);
