The candidate's timer is no longer than 8T

Cause: its base is measured, up to 2T where syncs were slow, and binary backoff made up to 16 times that, with jitter 9.6 s.

--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -166,6 +166,8 @@
 const CANDIDATE_FLOOR: Duration = Duration::from_millis(20);
 /// Up to 2^this times the candidate timer after candidacies that failed.
 const BACKOFF_MAX: u32 = 4;
+/// And no longer than so many T: slow syncs that were measured in trouble are no measure after it.
+const CANDIDATE_CEILING: u32 = 8;
 /// Entries in one message, and its rough size.
 const BATCH_ENTRIES: usize = 64;
 const BATCH_BYTES: usize = 512 * 1024;
@@ -504,7 +506,7 @@
     }
 
     fn arm_candidate(&mut self, now: Instant) {
-        let base = self.candidate_timeout() * 2u32.pow(self.backoff);
+        let base = (self.candidate_timeout() * 2u32.pow(self.backoff)).min(self.timing.t * CANDIDATE_CEILING);
         self.due = now + jitter(&mut self.rng, base);
     }
 
