--- a/brood/src/process/raft/election.rs
+++ b/brood/src/process/raft/election.rs
@@ -99,6 +99,9 @@
         }
         if self.role == Role::Leader {
             self.drop_reads();
+            // A late vote must not let it lead the same term again: answers to the rounds of the first time
+            // would count for those of the second.
+            self.votes.clear();
             self.contact.proven(self.leading.confirmed);
             self.leading = Leading::default();
         }
--- a/brood/src/process/raft/membership.rs
+++ b/brood/src/process/raft/membership.rs
@@ -163,12 +163,18 @@
                 None => left.push(old),
             }
         }
-        // Odd sizes bear as much as the next even one.
+        // Odd sizes bear as much as the next even one. Two more voters raise the majority, so nobody may be
+        // missing, also nobody whose successor one of them is: each voter has answered a round begun after
+        // the newcomers asked.
+        let asked = ready.iter().filter_map(|r| peers.get(&r.id)).map(|p| p.since_round).max().unwrap_or(0);
+        let here = |p: &Peer| p.round > asked && silence(p, now) < READY_WITHIN;
+        let all_here = voters.iter().all(|v| v.id == self.me.id || peers.get(&v.id).is_some_and(here));
         ready.retain(|r| next.iter().all(|v| v.ip != r.ip));
         let mut ready = ready.into_iter();
         loop {
             let wanted = if next.len().is_multiple_of(2) { 1 } else { 2 };
-            if ready.len() < wanted || next.len() + wanted > VOTERS_MAX {
+            let grows = wanted == 1 || all_here;
+            if ready.len() < wanted || !grows || next.len() + wanted > VOTERS_MAX {
                 break;
             }
             next.extend(ready.by_ref().take(wanted));
--- a/brood/src/process/raft/replication.rs
+++ b/brood/src/process/raft/replication.rs
@@ -24,8 +24,9 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     pub ip: Ipv4Addr,
-    /// Sent the log since then.
+    /// Sent the log since then, and the newest round at that time.
     pub since: Instant,
+    pub since_round: u64,
     /// Outside the electorate, it asked to be admitted.
     pub wants: bool,
     /// It said then that it is about to end.
@@ -78,6 +79,7 @@
         let fresh = Peer {
             ip: peer.ip,
             since: now,
+            since_round: self.leading.round,
             wants: false,
             leaving: None,
             next,
--- a/brood/tests/model/judge.rs
+++ b/brood/tests/model/judge.rs
@@ -67,7 +67,9 @@
     /// The commit that was last looked for on the disks.
     durably: u64,
     applied: u64,
+    /// The last term that it led, and the last that it stopped leading.
     leads: u64,
+    led: u64,
     /// Its electorate after its last turn.
     electorate: Electorate,
     current: bool,
@@ -288,6 +290,11 @@
                 return broken("current too early", what);
             }
         }
+        if seen.role != Role::Leader {
+            known.led = known.leads;
+        } else if known.led == seen.term {
+            return broken("a term is led twice", format!("{slot} led term {} before", seen.term));
+        }
         if seen.role == Role::Leader && known.leads != seen.term {
             known.leads = seen.term;
             let (who, whose, _) = *self.leaders.entry(seen.term).or_insert((id, life, now));
