The queen's machine in files by what they do; a pure move

royal.rs held calls from outside, proposals, the log's effects, daemons' messages and the status in one impl of 800 lines. Each now has a file under process/royal/.

--- /dev/null
+++ b/brood/src/process/royal/calls.rs
@@ -0,0 +1,147 @@
+//! Calls from outside: the operator's, and the instances' beats and ends.
+
+use super::proposals::{ANSWER_BY, ANSWER_CONFIG_BY, Purpose};
+use super::{Effect, Royal, Token};
+use crate::process::raft::Role;
+use crate::process::registry::Beat;
+use crate::version::config;
+use crate::version::ledger::Command;
+use std::time::Instant;
+
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub if_match: Option<String>,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub location: Option<String>,
+}
+
+impl Response {
+    pub(super) fn json(status: u16, value: &serde_json::Value) -> Self {
+        Response { status, body: value.to_string().into_bytes(), location: None }
+    }
+
+    pub(super) fn error(status: u16, why: &str) -> Self {
+        Response::json(status, &serde_json::json!({"error": why}))
+    }
+
+    pub(super) fn ok() -> Self {
+        Response::json(200, &serde_json::json!({}))
+    }
+}
+
+impl Royal {
+    pub fn request(&mut self, now: Instant, token: Token, request: Request) {
+        if let Some(response) = self.answer(now, token, request) {
+            self.pending.push_back(Effect::Reply(token, response));
+        }
+        self.turn(now);
+    }
+
+    fn answer(&mut self, now: Instant, token: Token, request: Request) -> Option<Response> {
+        let path = request.path.split('?').next().unwrap_or_default().to_owned();
+        match (request.method.as_str(), path.as_str()) {
+            ("PUT", "/api/config") => self.put_config(now, token, request),
+            ("GET", "/api/config") => self.get_config(now, token),
+            ("GET", "/api/history") => {
+                let history = serde_json::to_value(&self.ledger.history).unwrap_or_default();
+                Some(Response::json(200, &serde_json::json!({ "changes": history })))
+            }
+            ("GET", "/api/status") => Some(Response::json(200, &self.status(now))),
+            (method, path) => match path.strip_prefix("/api/instances/") {
+                Some(id) if !id.is_empty() && !id.contains('/') => match method {
+                    "PUT" => self.beat(now, token, id, &request.body),
+                    "DELETE" => self.instance_ends(now, token, id),
+                    _ => Some(Response::error(405, "PUT or DELETE")),
+                },
+                _ => Some(Response::error(404, "no such path")),
+            },
+        }
+    }
+
+    fn put_config(&mut self, now: Instant, token: Token, request: Request) -> Option<Response> {
+        let Some(if_match) = request.if_match.as_deref().and_then(|m| m.trim().trim_matches('"').parse().ok()) else {
+            return Some(Response::error(400, "If-Match must give the number of the version this builds on"));
+        };
+        if let Err(why) = config::read(&request.body) {
+            return Some(Response::error(400, &why));
+        }
+        if self.raft.leader().is_none() {
+            return Some(Response::error(503, "no leader; ask again"));
+        }
+        let by = now + ANSWER_CONFIG_BY;
+        self.propose(
+            now,
+            Command::Configure { if_match, raw: request.body, by: self.card.name.clone(), at: self.wall },
+            Purpose::Answer(token, by),
+        );
+        None
+    }
+
+    fn get_config(&mut self, now: Instant, token: Token) -> Option<Response> {
+        match self.raft.role() {
+            Role::Leader => {
+                self.next_read += 1;
+                self.reads.insert(self.next_read, token);
+                self.raft.read(now, self.next_read);
+                None
+            }
+            _ => {
+                let control = self.raft.leader().and_then(|l| self.control_of(l.ip));
+                Some(match control {
+                    Some(address) => Response {
+                        status: 307,
+                        body: Vec::new(),
+                        location: Some(format!("http://{address}/api/config")),
+                    },
+                    None => Response::error(503, "no leader known; ask again"),
+                })
+            }
+        }
+    }
+
+    pub(super) fn newest(&self) -> Response {
+        match &self.ledger.config {
+            Some(version) => Response { status: 200, body: version.raw.clone(), location: None },
+            None => Response::error(404, "no configuration yet"),
+        }
+    }
+
+    fn beat(&mut self, now: Instant, token: Token, id: &str, body: &[u8]) -> Option<Response> {
+        let beat: Beat = match serde_json::from_slice(body) {
+            Ok(beat) => beat,
+            Err(e) => return Some(Response::error(400, &format!("can't be read: {e}"))),
+        };
+        let draining = beat.status == "draining";
+        if let Some(fact) = self.registry.beat(now, id, &beat) {
+            self.spread(fact);
+            self.duty_due = now;
+        }
+        if draining { self.note_leaving(now, token, id) } else { Some(Response::ok()) }
+    }
+
+    /// That an instance leaves is in the log before anybody hears so: whatever restarts, it stays known.
+    fn note_leaving(&mut self, now: Instant, token: Token, id: &str) -> Option<Response> {
+        if self.ledger.drains.iter().any(|d| d == id) {
+            return Some(Response::ok());
+        }
+        let by = now + ANSWER_BY;
+        self.propose(now, Command::Drain { id: id.to_owned() }, Purpose::Answer(token, by));
+        None
+    }
+
+    fn instance_ends(&mut self, now: Instant, token: Token, id: &str) -> Option<Response> {
+        if let Some(fact) = self.registry.leave(now, id) {
+            self.spread(fact);
+            self.duty_due = now;
+        }
+        self.note_leaving(now, token, id)
+    }
+}
--- /dev/null
+++ b/brood/src/process/royal/mod.rs
@@ -0,0 +1,277 @@
+//! The control plane's state machine: the log, the registry, the tree's root and the duties.
+
+use super::dance::Dance;
+use super::duties::{Duties, Probed, Scene};
+use super::raft::{self, Raft, Role, Stored, Timing, Write};
+use super::registry::{self, Registry};
+use super::relay::Relay;
+use super::repair::Instance;
+use super::settings::{Bounds, Settings};
+use super::views::{Card, Views};
+use crate::version::ledger::Ledger;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+pub type Token = u64;
+
+mod calls;
+mod daemons;
+mod log;
+mod proposals;
+mod status;
+
+pub use calls::{Request, Response};
+use proposals::Proposal;
+
+#[derive(Debug)]
+pub enum Effect {
+    Write(u64, Write),
+    /// To be let out once the write with this number is durable (0: at once).
+    Send(Ipv4Addr, Dance, u64),
+    Reply(Token, Response),
+    Probe {
+        token: u64,
+        instance: Instance,
+        text: String,
+    },
+    Call {
+        token: u64,
+        path: &'static str,
+        fence: u64,
+        body: String,
+    },
+    Note(String),
+    /// Something that threatens a rule: the ring is written out.
+    Alarm(String),
+}
+
+/// Between queens: how often liveness and digests are exchanged.
+const GOSSIP: Duration = Duration::from_millis(1000);
+const DUTY_TICK: Duration = Duration::from_millis(25);
+const HELLO: Duration = Duration::from_millis(200);
+const JOIN: Duration = Duration::from_millis(300);
+/// Daemons that keep the log and were not heard for this long are forgotten, unless they are seeds or vote.
+const QUEEN_GONE: Duration = Duration::from_secs(60);
+/// Applied entries kept before they are compacted, and bytes of configurations in them: a storm of large
+/// ones must not fill the disk.
+const LOG_KEPT: u64 = 400;
+const LOG_BYTES: usize = 2 << 20;
+/// A leader counts as confirmed this long after a round began that a majority answered.
+pub const CONFIRM: Duration = Duration::from_millis(400);
+/// Timers armed for a tick are never nearer than this.
+const BREATH: Duration = Duration::from_millis(2);
+
+pub struct Royal {
+    card: Card,
+    seeds: Vec<Ipv4Addr>,
+    in_quorum: bool,
+    bootstrap: bool,
+    raft: Raft,
+    ledger: Ledger,
+    registry: Registry,
+    relay: Relay,
+    duties: Duties,
+    /// Other daemons that keep the log.
+    queens: BTreeMap<Ipv4Addr, (Card, Instant)>,
+    founders: BTreeMap<Ipv4Addr, raft::VoterId>,
+    proposer: u64,
+    serial: u64,
+    proposals: BTreeMap<u64, Proposal>,
+    reads: BTreeMap<u64, Token>,
+    /// Reads that found no leader yet.
+    next_read: u64,
+    published: u64,
+    /// Bytes of configurations applied since the log was last compacted.
+    log_bytes: usize,
+    hello_due: Instant,
+    join_due: Instant,
+    gossip_due: Instant,
+    duty_due: Instant,
+    /// The time of day at the last tick, since 1970.
+    wall: Duration,
+    was: Role,
+    pending: VecDeque<Effect>,
+}
+
+impl Royal {
+    pub fn new(now: Instant, settings: &Settings, stored: Stored, mut rng: fastrand::Rng) -> Self {
+        let card = Card {
+            name: settings.node_name.clone(),
+            ip: settings.ip,
+            zone: settings.zone.clone(),
+            control: settings.listen.control,
+            age: 0,
+        };
+        let seeds: Vec<Ipv4Addr> = settings.seed_nodes.iter().map(|s| *s.ip()).collect();
+        let t = Duration::from_millis(settings.election.t_ms);
+        let timing = Timing { t, confirm: CONFIRM, tolerance: settings.tolerance.machines };
+        let proposer = rng.u64(1..);
+        let raft = Raft::new(now, settings.ip, timing, stored, rng.fork());
+        let relay =
+            Relay::new(now, Views::new(card.clone(), rng.fork()), seeds.clone(), true, settings.limits.link_mbps);
+        let beat = Duration::from_millis(settings.beat_ms);
+        let bounds: Bounds = settings.timing_bounds.clone();
+        let duties = Duties::new(now, &settings.node_name, bounds, beat, settings.platform.clone());
+        let mut royal = Royal {
+            card,
+            seeds,
+            in_quorum: settings.in_quorum,
+            bootstrap: settings.bootstrap,
+            raft,
+            ledger: Ledger::default(),
+            registry: Registry::default(),
+            relay,
+            duties,
+            queens: BTreeMap::new(),
+            founders: BTreeMap::new(),
+            proposer,
+            serial: 0,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_read: 0,
+            published: 0,
+            log_bytes: 0,
+            hello_due: now,
+            join_due: now,
+            gossip_due: now + GOSSIP / 2,
+            duty_due: now,
+            wall: Duration::ZERO,
+            was: Role::Follower,
+            pending: VecDeque::new(),
+        };
+        royal.turn(now);
+        royal
+    }
+
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.pending).into()
+    }
+
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    pub fn raft(&self) -> &Raft {
+        &self.raft
+    }
+
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.duties.set_bounds(bounds);
+    }
+
+    fn send(&mut self, to: Ipv4Addr, dance: Dance) {
+        self.pending.push_back(Effect::Send(to, dance, 0));
+    }
+
+    /// Every other daemon that may keep the log: the seeds are only the first of them.
+    fn others(&self) -> BTreeSet<Ipv4Addr> {
+        let voters = self.raft.voters().iter().map(|v| v.ip);
+        let mut all: BTreeSet<Ipv4Addr> =
+            self.seeds.iter().copied().chain(self.queens.keys().copied()).chain(voters).collect();
+        all.remove(&self.card.ip);
+        all
+    }
+
+    pub fn durable(&mut self, now: Instant, write: u64) {
+        self.raft.durable(now, write);
+        self.turn(now);
+    }
+
+    /// This daemon is about to end.
+    pub fn leave(&mut self, now: Instant) {
+        self.raft.leave(now);
+        self.turn(now);
+    }
+
+    pub fn probed(&mut self, now: Instant, token: u64, result: Probed) {
+        self.duties.probed(now, token, result);
+        self.duty_due = now;
+    }
+
+    pub fn called(&mut self, now: Instant, token: u64, status: Option<u16>) {
+        self.duties.called(now, token, status);
+        self.duty_due = now;
+    }
+
+    /// Whether a call to the platform may go out at this moment.
+    pub fn may_call(&self, now: Instant, fence: u64) -> bool {
+        self.raft.confirmed(now) && self.raft.term() == fence
+    }
+
+    pub fn next_due(&self) -> Instant {
+        let mut due = self.raft.next_due().min(self.relay.next_due()).min(self.gossip_due);
+        due = due.min(self.hello_due);
+        if !self.raft.is_voter() || self.raft.leader().is_none() {
+            due = due.min(self.join_due);
+        }
+        if self.raft.role() == Role::Leader {
+            due = due.min(self.duty_due);
+        }
+        for p in self.proposals.values() {
+            due = due.min(p.due);
+        }
+        due
+    }
+
+    /// `wall` is the time of day since 1970.
+    pub fn tick(&mut self, now: Instant, wall: Duration) {
+        self.wall = wall;
+        self.raft.tick(now);
+        self.turn(now);
+        if now >= self.hello_due {
+            self.hello_due = now + if self.raft.voters().is_empty() { HELLO } else { HELLO * 25 };
+            let hello = self.hello();
+            for to in self.others() {
+                self.send(to, hello.clone());
+            }
+            self.queens.retain(|_, (_, heard)| now.duration_since(*heard) < QUEEN_GONE);
+            self.found();
+        }
+        if now >= self.join_due {
+            self.join_due = now + JOIN;
+            let outside = !self.raft.is_voter()
+                && (!self.bootstrap || !self.raft.voters().is_empty() || !self.seeds.contains(&self.card.ip));
+            // A voter that finds no leader for so long may have been retired while it was away.
+            let lost = self.raft.leader().is_none() && !self.raft.voters().is_empty();
+            if outside || lost {
+                for to in self.others() {
+                    self.raft.join(to, self.in_quorum);
+                }
+            }
+        }
+        if now >= self.gossip_due {
+            self.gossip_due = now + GOSSIP;
+            let beats = self.registry.recent(now, GOSSIP + GOSSIP / 2);
+            let digests = self.relay.copies.digests();
+            for to in self.others() {
+                self.send(to, Dance::Beats { beats: beats.clone(), digests });
+            }
+            for id in self.registry.forget(now) {
+                self.relay.copies.drop_key(&registry::key(&id));
+            }
+        }
+        self.push_proposals(now);
+        self.relay.tick(now);
+        if self.raft.confirmed(now) && now >= self.duty_due {
+            self.duty_due = now + DUTY_TICK;
+            let scene = Scene {
+                now,
+                term: self.raft.term(),
+                ledger: &self.ledger,
+                registry: &self.registry,
+                wall,
+                confirm: CONFIRM,
+            };
+            self.duties.drive(&scene);
+        } else if now >= self.duty_due {
+            self.duty_due = now + DUTY_TICK;
+        }
+        self.turn(now);
+    }
+
+    /// The earliest moment worth waking for.
+    pub fn wake(&self, now: Instant) -> Instant {
+        self.next_due().max(now + BREATH)
+    }
+}
--- /dev/null
+++ b/brood/src/process/royal/proposals.rs
@@ -0,0 +1,82 @@
+//! Proposals: on their way to the leader, until the log has decided them.
+
+use super::{Effect, Response, Royal, Token};
+use crate::process::dance::Dance;
+use crate::process::raft::Role;
+use crate::version::ledger::{Command, Mark, Outcome};
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Clone)]
+pub(super) enum Purpose {
+    /// A caller waits for it until then.
+    Answer(Token, Instant),
+    Duty,
+}
+
+#[derive(Debug)]
+pub(super) struct Proposal {
+    pub(super) command: Command,
+    pub(super) purpose: Purpose,
+    /// The leader has it; before that the shorter timer runs.
+    pub(super) heard: bool,
+    pub(super) due: Instant,
+}
+
+/// The paper's two client timers: until the leader has the proposal, and until it is decided.
+const HEARD_TIMER: Duration = Duration::from_millis(150);
+pub(super) const DECIDED_TIMER: Duration = Duration::from_millis(900);
+/// Callers move on after a second of silence; they are answered before.
+pub(super) const ANSWER_BY: Duration = Duration::from_millis(850);
+pub(super) const ANSWER_CONFIG_BY: Duration = Duration::from_millis(4000);
+
+impl Royal {
+    pub(super) fn propose(&mut self, now: Instant, command: Command, purpose: Purpose) {
+        self.serial += 1;
+        let proposal = Proposal { command, purpose, heard: false, due: now };
+        self.proposals.insert(self.serial, proposal);
+        self.push_proposals(now);
+    }
+
+    /// Sends proposals whose timer has run out to whoever leads now.
+    pub(super) fn push_proposals(&mut self, now: Instant) {
+        let due: Vec<u64> = self.proposals.iter().filter(|(_, p)| now >= p.due).map(|(s, _)| *s).collect();
+        for serial in due {
+            let mark = Mark { proposer: self.proposer, serial };
+            let Some(proposal) = self.proposals.get_mut(&serial) else { continue };
+            if let Purpose::Answer(token, by) = proposal.purpose
+                && now >= by
+            {
+                self.proposals.remove(&serial);
+                self.pending.push_back(Effect::Reply(token, Response::error(503, "no decision yet; ask again")));
+                continue;
+            }
+            let command = proposal.command.clone();
+            proposal.due = now + HEARD_TIMER;
+            if self.raft.role() == Role::Leader {
+                proposal.due = now + DECIDED_TIMER;
+                self.raft.propose(now, mark, command);
+            } else if matches!(proposal.purpose, Purpose::Duty) {
+                // Duties belong to a lead that is over.
+                self.proposals.remove(&serial);
+            } else if let Some(leader) = self.raft.leader() {
+                proposal.heard = false;
+                self.send(leader.ip, Dance::Propose { mark, command });
+            }
+        }
+    }
+
+    pub(super) fn decided(&mut self, _now: Instant, mark: Mark, outcome: &Outcome) {
+        let Some(proposal) = self.proposals.remove(&mark.serial) else { return };
+        if let Purpose::Answer(token, _) = proposal.purpose {
+            let response = match outcome {
+                Outcome::Done => Response::ok(),
+                Outcome::Outrun { current } => Response::json(
+                    412,
+                    &serde_json::json!({"error": "another version is in place", "revision": current}),
+                ),
+                Outcome::Invalid { why } => Response::error(400, why),
+            };
+            self.pending.push_back(Effect::Reply(token, response));
+        }
+    }
+}
--- /dev/null
+++ b/brood/src/process/royal/status.rs
@@ -0,0 +1,50 @@
+//! What this daemon tells operators of itself.
+
+use super::Royal;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+impl Royal {
+    pub fn status(&self, now: Instant) -> serde_json::Value {
+        let instances: Vec<_> = self
+            .registry
+            .all()
+            .map(|i| {
+                serde_json::json!({"id": i.id, "service": i.service, "address": i.address, "zone": i.zone,
+                    "role": if i.primary { "primary" } else { "replica" },
+                    "status": if i.gone { "gone" } else if i.draining { "draining" } else { "ready" },
+                    "silent-ms": self.registry.silence(now, &i.id).map(|s| s.as_millis() as u64)})
+            })
+            .collect();
+        let epochs: BTreeMap<_, _> = self
+            .ledger
+            .epochs
+            .iter()
+            .map(|(s, e)| {
+                (
+                    s.clone(),
+                    serde_json::json!({"epoch": e.epoch, "primary": e.primary, "term": e.term, "closed": e.closed}),
+                )
+            })
+            .collect();
+        let leader = self.raft.leader();
+        serde_json::json!({
+            "node": self.card.name,
+            "role": format!("{:?}", self.raft.role()).to_lowercase(),
+            "term": self.raft.term(),
+            "leader": leader.map(|l| l.ip.to_string()),
+            "leader-control": leader.and_then(|l| self.control_of(l.ip)).map(|a| a.to_string()),
+            "commit": self.raft.commit(),
+            "last": self.raft.last_index(),
+            "voters": self.raft.voters().iter().map(|v| v.ip.to_string()).collect::<Vec<_>>(),
+            "config-revision": self.ledger.revision(),
+            "daemons-seen": self.relay.views.cards().iter().map(|c| c.name.clone()).collect::<Vec<_>>(),
+            "instances": instances,
+            "primaries": epochs,
+            "drains": self.ledger.drains.len(),
+            "shares": self.ledger.parts,
+            "duties": self.duties.describe(now),
+            "candidate-timeout-ms": self.raft.candidate_timeout().as_millis() as u64,
+        })
+    }
+}
