--- a/brood/src/process/royal/proposals.rs
+++ b/brood/src/process/royal/proposals.rs
@@ -70,7 +70,7 @@
         if let Purpose::Answer(token, _) = proposal.purpose {
             let response = match outcome {
                 Outcome::Done => Response::ok(),
-                Outcome::Outrun { current } => Response::json(
+                Outcome::Conflict { current } => Response::json(
                     412,
                     &serde_json::json!({"error": "another version is in place", "revision": current}),
                 ),
--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -60,7 +60,7 @@
 pub enum Outcome {
     Done,
     /// Another version is current.
-    Outrun {
+    Conflict {
         current: u64,
     },
     Invalid {
@@ -229,14 +229,14 @@
             Command::Configure { if_match, raw, by, at } => return self.configure(*if_match, raw, by, *at),
             Command::Close { service, epoch } => {
                 let Some(e) = self.epochs.get_mut(service).filter(|e| e.epoch == *epoch) else {
-                    return Outcome::Outrun { current: 0 };
+                    return Outcome::Conflict { current: 0 };
                 };
                 e.closed = true;
                 self.note(format!("e/{service}"));
             }
             Command::Name { service, epoch, target, holder } => {
                 let Some(e) = self.epochs.get_mut(service).filter(|e| e.epoch == *epoch && e.closed) else {
-                    return Outcome::Outrun { current: 0 };
+                    return Outcome::Conflict { current: 0 };
                 };
                 e.named = Some(target.clone());
                 e.holder = Some(holder.clone());
@@ -244,7 +244,7 @@
             Command::Crown { service, epoch, primary, term } => {
                 let old = self.epochs.get(service);
                 if old.map_or(0, |e| e.epoch) + 1 != *epoch || old.is_some_and(|e| !e.closed || e.term > *term) {
-                    return Outcome::Outrun { current: 0 };
+                    return Outcome::Conflict { current: 0 };
                 }
                 let holder = old.and_then(|e| e.holder.clone());
                 let new =
@@ -277,7 +277,7 @@
                     return Outcome::Done;
                 }
                 if self.reports.keys().next_back().is_some_and(|w| *w > *window + 3) {
-                    return Outcome::Outrun { current: 0 };
+                    return Outcome::Conflict { current: 0 };
                 }
                 self.reports.insert(*window, Report { counts: counts.clone(), holder: holder.clone() });
                 self.usage_holder = Some(holder.clone());
@@ -304,7 +304,7 @@
         };
         let current = self.revision();
         if if_match != current {
-            return Outcome::Outrun { current };
+            return Outcome::Conflict { current };
         }
         if document.revision <= current {
             return Outcome::Invalid { why: format!("revision {} is not above {current}", document.revision) };
--- a/brood/tests/ledger.rs
+++ b/brood/tests/ledger.rs
@@ -17,7 +17,7 @@
     };
     assert_eq!(put(0, &document(3)), Outcome::Done);
     assert_eq!(put(3, &document(5)), Outcome::Done);
-    assert_eq!(put(3, &document(6)), Outcome::Outrun { current: 5 });
+    assert_eq!(put(3, &document(6)), Outcome::Conflict { current: 5 });
     assert_eq!(put(0, &document(3)), Outcome::Done, "the exact resend of a taken one");
     assert!(matches!(put(5, &document(5)), Outcome::Invalid { .. }));
     assert!(matches!(put(5, b"{"), Outcome::Invalid { .. }));
@@ -34,7 +34,7 @@
     assert_eq!(ledger.apply(1, mark, &first), Outcome::Done);
     assert_eq!(ledger.apply(2, mark, &first), Outcome::Done, "the cached result");
     assert_eq!(ledger.epochs["s"].epoch, 1);
-    assert_eq!(ledger.apply(3, Mark::default(), &first), Outcome::Outrun { current: 0 });
+    assert_eq!(ledger.apply(3, Mark::default(), &first), Outcome::Conflict { current: 0 });
 }
 
 #[test]
