A change that was taken is known by its version and a blake3 fingerprint, 4,096 of them

Cause: taken orders were remembered as 64 bits of FNV-1a xor-ed with If-Match, the last 64 only. After 65 changes a resend of the first was refused with 412; and since If-Match is the sender's to choose, a body that nobody took could be given one that made it pass for a taken one: it was acknowledged and not in force. Built on a version older than those, an order nobody knows gets no clear answer (503) instead of a refusal. Before: a_resend_is_known_however_many_changes_came_after and no_if_match_makes_another_body_pass_for_one_that_was_taken failed. Taken away by hand: 64 kept -> the first of them fails; no bound for what is forgotten -> a_resend_too_old_...; any body on a taken version, or a fingerprint of the length alone -> of_two_under_one_number_...; no comparison with the current version -> a_change_refused_once_is_never_taken_later. Refuted on the way: entries applied twice after their marks are forgotten change nothing, and what is decided against an order once stays decided, as versions only rise (tests of these names).

--- a/brood/src/version/ledger.rs
+++ b/brood/src/version/ledger.rs
@@ -59,13 +59,15 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     Done,
-    /// Another version is current.
+    /// A version conflict: another version is current, or another epoch.
     Conflict {
         current: u64,
     },
     Invalid {
         why: String,
     },
+    /// Built on a version so old that nobody knows any more whether this change was taken.
+    Unknown,
 }
 
 /// A proposer's mark on an entry; serial 0 is the leader's own.
@@ -151,19 +153,33 @@
 /// Changes of the configuration that are told of, and names in each.
 const KEPT_HISTORY: usize = 64;
 const KEPT_NAMES: usize = 20;
-/// How many results per proposer, accepted configurations, drains and reports are kept.
+/// Taken changes that a resend is known by; some 40 bytes each. Far more than are made while a resend of one may
+/// still come.
+pub const KEPT_TAKEN: usize = 4096;
+/// How many results per proposer, drains and reports are kept.
 const KEPT_RESULTS: usize = 64;
-const KEPT_ACCEPTED: usize = 64;
 pub const KEPT_DRAINS: usize = 256;
 const KEPT_REPORTS: usize = 16;
 const KEPT_PROPOSERS: usize = 64;
 
+/// Stands for a configuration as it was sent, byte by byte: no two have the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Fingerprint([u8; blake3::OUT_LEN]);
+
+impl Fingerprint {
+    fn of(raw: &[u8]) -> Self {
+        Fingerprint(*blake3::hash(raw).as_bytes())
+    }
+}
+
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Ledger {
     pub index: u64,
     pub config: Option<Version>,
-    /// Digests of the configurations taken, so that a resend is known.
-    accepted: VecDeque<u64>,
+    /// The changes taken, by the version that each built on: one at most on each. A resend is known by it.
+    taken: BTreeMap<u64, Fingerprint>,
+    /// Changes built on versions below this are not known any more.
+    forgotten: u64,
     pub epochs: BTreeMap<String, Epoch>,
     pub drains: VecDeque<String>,
     pub parts: Parts,
@@ -294,18 +310,17 @@
     }
 
     fn configure(&mut self, if_match: u64, raw: &[u8], by: &str, at: Duration) -> Outcome {
-        let digest = crate::process::repair::digest(raw) ^ if_match;
-        if self.accepted.contains(&digest) {
-            return Outcome::Done;
+        let (current, fingerprint) = (self.revision(), Fingerprint::of(raw));
+        match self.taken.get(&if_match) {
+            Some(taken) if *taken == fingerprint => return Outcome::Done,
+            None if if_match < self.forgotten => return Outcome::Unknown,
+            _ if if_match != current => return Outcome::Conflict { current },
+            _ => {}
         }
         let document = match config::read(raw) {
             Ok(document) => document,
             Err(why) => return Outcome::Invalid { why },
         };
-        let current = self.revision();
-        if if_match != current {
-            return Outcome::Conflict { current };
-        }
         if document.revision <= current {
             return Outcome::Invalid { why: format!("revision {} is not above {current}", document.revision) };
         }
@@ -324,9 +339,11 @@
             self.history.pop_front();
         }
         self.config = Some(Version { revision: document.revision, raw: raw.to_vec() });
-        self.accepted.push_back(digest);
-        if self.accepted.len() > KEPT_ACCEPTED {
-            self.accepted.pop_front();
+        self.taken.insert(if_match, fingerprint);
+        if self.taken.len() > KEPT_TAKEN
+            && let Some((oldest, _)) = self.taken.pop_first()
+        {
+            self.forgotten = oldest + 1;
         }
         self.note("c/".to_owned());
         Outcome::Done
