--- a/brood/tests/ledger.rs
+++ b/brood/tests/ledger.rs
@@ -127,7 +127,7 @@
 #[test]
 fn a_change_refused_once_is_never_taken_later() {
     let mut log = Log::default();
-    let (mut refused, mut taken): (Vec<(u64, u64)>, Vec<(u64, u64)>) = Default::default();
+    let (mut refused, mut taken) = (Vec::new(), Vec::new());
     let mut rng = fastrand::Rng::with_seed(7);
     for _ in 0..4000 {
         let current = log.0.revision();
