An order on a version not known yet waits for it, instead of a refusal that may not last

Cause: If-Match above the current version was answered 412 at once. A conflict is so decided only against a version that the current one has passed, which never changes back.

--- a/brood/src/process/royal/calls.rs
+++ b/brood/src/process/royal/calls.rs
@@ -70,8 +70,13 @@
         let Some(if_match) = request.if_match.as_deref().and_then(|m| m.trim().trim_matches('"').parse().ok()) else {
             return Some(Response::error(400, "If-Match must give the number of the version this builds on"));
         };
-        if let Err(why) = config::read(&request.body) {
-            return Some(Response::error(400, &why));
+        match config::read(&request.body) {
+            Ok(document) if document.revision <= if_match => {
+                let why = format!("revision {} is not above {if_match}, which it builds on", document.revision);
+                return Some(Response::error(400, &why));
+            }
+            Ok(_) => {}
+            Err(why) => return Some(Response::error(400, &why)),
         }
         if self.raft.leader().is_none() {
             return Some(Response::error(503, "no leader; ask again"));
--- a/brood/src/process/royal/log.rs
+++ b/brood/src/process/royal/log.rs
@@ -6,7 +6,7 @@
 use crate::process::duties;
 use crate::process::raft::{self, Role, Snapshot};
 use crate::process::repair::{Fact, Value};
-use crate::version::ledger::Command;
+use crate::version::ledger::{Command, Outcome};
 use std::net::Ipv4Addr;
 use std::time::Instant;
 
@@ -107,6 +107,9 @@
         }
         let outcome = self.ledger.apply(index, entry.mark, &entry.command);
         self.duties.applied(&entry.command);
+        if outcome == Outcome::Done && matches!(entry.command, Command::Configure { .. }) {
+            self.wake_orders(now);
+        }
         if entry.mark.proposer == self.proposer && entry.mark.serial != 0 {
             self.decided(now, entry.mark, &outcome);
         }
--- a/brood/src/process/royal/proposals.rs
+++ b/brood/src/process/royal/proposals.rs
@@ -19,6 +19,8 @@
     pub(super) purpose: Purpose,
     /// The leader has it; before that the shorter timer runs.
     pub(super) heard: bool,
+    /// It builds on a version that is not known here yet.
+    waits: bool,
     pub(super) due: Instant,
 }
 
@@ -32,12 +34,14 @@
 impl Royal {
     pub(super) fn propose(&mut self, now: Instant, command: Command, purpose: Purpose) {
         self.serial += 1;
-        let proposal = Proposal { command, purpose, heard: false, due: now };
+        let proposal = Proposal { command, purpose, heard: false, waits: false, due: now };
         self.proposals.insert(self.serial, proposal);
         self.push_proposals(now);
     }
 
-    /// Sends proposals whose timer has run out to whoever leads now.
+    /// Sends proposals whose timer has run out to whoever leads now. An order on a version that is not known here
+    /// yet waits for it: a conflict is decided only against a version that the current one has passed, and so
+    /// for good.
     pub(super) fn push_proposals(&mut self, now: Instant) {
         let due: Vec<u64> = self.proposals.iter().filter(|(_, p)| now >= p.due).map(|(s, _)| *s).collect();
         for serial in due {
@@ -50,8 +54,13 @@
                 self.pending.push_back(Effect::Reply(token, Response::error(503, "no decision yet; ask again")));
                 continue;
             }
-            let command = proposal.command.clone();
             proposal.due = now + HEARD_TIMER;
+            proposal.waits =
+                matches!(&proposal.command, Command::Configure { if_match, .. } if *if_match > self.ledger.revision());
+            if proposal.waits {
+                continue;
+            }
+            let command = proposal.command.clone();
             if self.raft.role() == Role::Leader {
                 proposal.due = now + DECIDED_TIMER;
                 self.raft.propose(now, mark, command);
@@ -65,6 +74,11 @@
         }
     }
 
+    /// Another version is in place: orders may have waited for it.
+    pub(super) fn wake_orders(&mut self, now: Instant) {
+        self.proposals.values_mut().filter(|p| p.waits).for_each(|p| p.due = now);
+    }
+
     pub(super) fn decided(&mut self, _now: Instant, mark: Mark, outcome: &Outcome) {
         let Some(proposal) = self.proposals.remove(&mark.serial) else { return };
         if let Purpose::Answer(token, _) = proposal.purpose {
--- /dev/null
+++ b/brood/tests/queens/main.rs
@@ -0,0 +1,4 @@
+//! Queens among each other, on simulated time.
+
+mod core;
+mod orders;
