One gate knows the age of the last contact with a majority; what a cut-off queen answers goes through it

Cause, by calls: a queen answered ready beats with 200, history and status from whatever it had, however long it had been alone; an instance that beat only there was heard by nobody who decides. Its age, as told to the foragers it feeds, was "now" as long as it believed in a leader, and that was looked at when something came in: a queen that thawed after 20 s and was called before its first tick told its children that its news was fresh, and named the leader of before. A read waited without end at a leader that could commit nothing. Now (process/royal/gate.rs): a follower asks the leader four times a second (ReadIndex); its contact is the moment it sent the ask, less the age of the leader's own confirmation, and counts once what the leader had committed is applied here. A leader's is the beginning of its newest confirmed round. So neither what lay unread during a freeze, nor a leader that is none any more, makes it younger. Out of contact for 8 T (1.2 s at T = 150 ms): beats are noted, passed on and answered 503, so that the instance goes on to a daemon by which the leader hears of it; new children are named the other queens instead of being fed; asks for leases and reads are sent on to nobody. Leaving is refused at once where no leader is known. The history is read like the configuration, by way of a confirmed leader. Reads end within 0.85 s. Refuted: GET /api/config never answered an old version; it was read by way of a confirmed round before.

--- a/apiary/src/world.rs
+++ b/apiary/src/world.rs
@@ -1312,6 +1312,7 @@
     fn target(&self, who: &str) -> Vec<usize> {
         match who {
             "leader" => self.leader().into_iter().collect(),
+            "follower" => (0..self.queens).find(|q| Some(*q) != self.leader()).into_iter().collect(),
             "followers" => (0..self.queens).filter(|q| Some(*q) != self.leader()).collect(),
             "queens" => (0..self.queens).collect(),
             "foragers" => (self.queens..self.nodes.len()).collect(),
@@ -1421,8 +1422,10 @@
             "start" => (0..self.nodes.len()).for_each(|n| self.start(n, false)),
             "cut" => {
                 let oneway = words.get(2) == Some(&"oneway");
+                // From the other queens only: foragers, instances and operators reach it on.
+                let reach = if words.get(2) == Some(&"core") { self.queens } else { self.nodes.len() };
                 for n in self.target(who) {
-                    for other in (0..self.nodes.len()).filter(|o| *o != n) {
+                    for other in (0..reach).filter(|o| *o != n) {
                         self.cuts.insert((n, other));
                         if !oneway {
                             self.cuts.insert((other, n));
--- a/brood/src/process/dance.rs
+++ b/brood/src/process/dance.rs
@@ -93,6 +93,16 @@
         service: String,
         epoch: u64,
     },
+    /// To the leader, by a daemon that keeps the log: what is committed, and does a majority still stand behind it?
+    ReadIndex {
+        nonce: u64,
+    },
+    /// Up to here; a majority last answered a round begun this long ago.
+    Indexed {
+        nonce: u64,
+        commit: u64,
+        age: Duration,
+    },
 }
 
 /// A parent's sign of life: how old its news is, who leads, and what tells whether copies differ.
--- a/brood/src/process/raft.rs
+++ b/brood/src/process/raft.rs
@@ -1147,3 +1147,13 @@
         }
     }
 }
+
+// ---- what the gate and `status` ask of the log ------------------------------------------------
+
+impl Raft {
+    /// When the newest round began that a majority answered, for a leader that has committed in its term.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        let committed = self.role == Role::Leader && self.commit >= self.leading.first;
+        self.leading.confirmed.filter(|_| committed)
+    }
+}
--- a/brood/src/process/relay.rs
+++ b/brood/src/process/relay.rs
@@ -160,12 +160,10 @@
         self.fresh.map(|f| now.duration_since(f))
     }
 
-    /// A root learns of the leader from the log's own traffic.
-    pub fn root_heard(&mut self, now: Instant, leader: Option<Ipv4Addr>) {
+    /// A root learns of the leader from the log's own traffic; everything until `as_of` is known here.
+    pub fn root_heard(&mut self, as_of: Option<Instant>, leader: Option<Ipv4Addr>) {
         self.leader = leader;
-        if leader.is_some() {
-            self.fresh = Some(now);
-        }
+        self.fresh = self.fresh.max(as_of);
     }
 
     /// Takes news from this daemon itself and passes it on.
--- a/brood/src/process/royal/calls.rs
+++ b/brood/src/process/royal/calls.rs
@@ -23,6 +23,29 @@
     pub location: Option<String>,
 }
 
+/// What a read waits for, and until when.
+pub(super) struct Read {
+    token: Token,
+    pub(super) by: Instant,
+    what: What,
+}
+
+enum What {
+    Config,
+    History,
+}
+
+impl What {
+    fn path(&self) -> &'static str {
+        match self {
+            What::Config => "/api/config",
+            What::History => "/api/history",
+        }
+    }
+}
+
+const OUT_OF_CONTACT: &str = "out of contact with a majority; ask another daemon";
+
 impl Response {
     pub(super) fn json(status: u16, value: &serde_json::Value) -> Self {
         Response { status, body: value.to_string().into_bytes(), location: None }
@@ -49,11 +72,8 @@
         let path = request.path.split('?').next().unwrap_or_default().to_owned();
         match (request.method.as_str(), path.as_str()) {
             ("PUT", "/api/config") => self.put_config(now, token, request),
-            ("GET", "/api/config") => self.get_config(now, token),
-            ("GET", "/api/history") => {
-                let history = serde_json::to_value(&self.ledger.history).unwrap_or_default();
-                Some(Response::json(200, &serde_json::json!({ "changes": history })))
-            }
+            ("GET", "/api/config") => self.read(now, Read { token, by: now + ANSWER_BY, what: What::Config }),
+            ("GET", "/api/history") => self.read(now, Read { token, by: now + ANSWER_BY, what: What::History }),
             ("GET", "/api/status") => Some(Response::json(200, &self.status(now))),
             (method, path) => match path.strip_prefix("/api/instances/") {
                 Some(id) if !id.is_empty() && !id.contains('/') => match method {
@@ -90,35 +110,55 @@
         None
     }
 
-    fn get_config(&mut self, now: Instant, token: Token) -> Option<Response> {
-        match self.raft.role() {
-            Role::Leader => {
-                self.next_read += 1;
-                self.reads.insert(self.next_read, token);
-                self.raft.read(now, self.next_read);
-                None
-            }
-            _ => {
-                let control = self.raft.leader().and_then(|l| self.control_of(l.ip));
-                Some(match control {
-                    Some(address) => Response {
-                        status: 307,
-                        body: Vec::new(),
-                        location: Some(format!("http://{address}/api/config")),
-                    },
-                    None => Response::error(503, "no leader known; ask again"),
-                })
-            }
+    /// Reads are linearizable: a leader answers once a majority has confirmed it after the call came.
+    fn read(&mut self, now: Instant, read: Read) -> Option<Response> {
+        if self.raft.role() == Role::Leader {
+            self.next_read += 1;
+            self.reads.insert(self.next_read, read);
+            self.raft.read(now, self.next_read);
+            return None;
         }
+        let control = self.raft.leader().filter(|_| self.in_contact(now)).and_then(|l| self.control_of(l.ip));
+        Some(match control {
+            Some(address) => Response {
+                status: 307,
+                body: Vec::new(),
+                location: Some(format!("http://{address}{}", read.what.path())),
+            },
+            None => Response::error(503, "no leader known; ask again"),
+        })
+    }
+
+    pub(super) fn readable(&mut self, read: u64) {
+        let Some(Read { token, what, .. }) = self.reads.remove(&read) else { return };
+        let response = match what {
+            What::Config => self.newest(),
+            What::History => Response::json(200, &serde_json::json!({ "changes": self.ledger.history })),
+        };
+        self.pending.push_back(Effect::Reply(token, response));
     }
 
-    pub(super) fn newest(&self) -> Response {
+    pub(super) fn unreadable(&mut self, read: u64) {
+        if let Some(Read { token, .. }) = self.reads.remove(&read) {
+            self.pending.push_back(Effect::Reply(token, Response::error(503, "the leader changed; ask again")));
+        }
+    }
+
+    /// A leader may stay one and yet commit nothing, with too few voters to hold it: nobody waits for that.
+    pub(super) fn expire_reads(&mut self, now: Instant) {
+        let late: Vec<u64> = self.reads.iter().filter(|(_, r)| now >= r.by).map(|(read, _)| *read).collect();
+        late.into_iter().for_each(|read| self.unreadable(read));
+    }
+
+    fn newest(&self) -> Response {
         match &self.ledger.config {
             Some(version) => Response { status: 200, body: version.raw.clone(), location: None },
             None => Response::error(404, "no configuration yet"),
         }
     }
 
+    /// Out of contact what an instance says is noted and passed on, but not acknowledged: it goes on to another daemon, by
+    /// which the leader hears of it.
     fn beat(&mut self, now: Instant, token: Token, id: &str, body: &[u8]) -> Option<Response> {
         let beat: Beat = match serde_json::from_slice(body) {
             Ok(beat) => beat,
@@ -129,7 +169,11 @@
             self.spread(fact);
             self.duty_due = now;
         }
-        if draining { self.note_leaving(now, token, id) } else { Some(Response::ok()) }
+        match draining {
+            true => self.note_leaving(now, token, id),
+            false if self.in_contact(now) => Some(Response::ok()),
+            false => Some(Response::error(503, OUT_OF_CONTACT)),
+        }
     }
 
     /// That an instance leaves is in the log before anybody hears so: whatever restarts, it stays known.
@@ -137,6 +181,9 @@
         if self.ledger.drains.iter().any(|d| d == id) {
             return Some(Response::ok());
         }
+        if self.raft.leader().is_none() && !self.in_contact(now) {
+            return Some(Response::error(503, OUT_OF_CONTACT));
+        }
         let by = now + ANSWER_BY;
         self.propose(now, Command::Drain { id: id.to_owned() }, Purpose::Answer(token, by));
         None
--- a/brood/src/process/royal/daemons.rs
+++ b/brood/src/process/royal/daemons.rs
@@ -12,6 +12,9 @@
 
 impl Royal {
     pub fn dance(&mut self, now: Instant, from: Ipv4Addr, dance: Dance) {
+        if self.turns_away(now, from, &dance) {
+            return self.turn(now);
+        }
         if let Some(rest) = self.relay.receive(now, from, dance) {
             self.other_dance(now, from, rest);
         }
@@ -76,7 +79,7 @@
             }
             Dance::Ask(ask) => {
                 if !self.raft.confirmed(now) {
-                    if let Some(leader) = self.raft.leader().filter(|l| l.ip != self.card.ip) {
+                    if let Some(leader) = self.raft.leader().filter(|l| l.ip != self.card.ip && self.in_contact(now)) {
                         self.send(from, Dance::Led { leader: leader.ip });
                     }
                     return;
@@ -104,6 +107,8 @@
                 self.duties.returned(from, &service, epoch);
                 self.duty_due = now;
             }
+            Dance::ReadIndex { nonce } => self.asked_index(now, from, nonce),
+            Dance::Indexed { nonce, commit, age } => self.told_index(nonce, commit, age),
             _ => {}
         }
     }
--- a/brood/src/process/royal/log.rs
+++ b/brood/src/process/royal/log.rs
@@ -1,7 +1,7 @@
 //! The log: what it wants done, what it has decided, and the news that follows from it.
 
 use super::proposals::Purpose;
-use super::{Effect, LOG_BYTES, LOG_KEPT, Response, Royal};
+use super::{Effect, LOG_BYTES, LOG_KEPT, Royal};
 use crate::process::dance::Dance;
 use crate::process::duties;
 use crate::process::raft::{self, Role, Snapshot};
@@ -26,18 +26,8 @@
                     }
                     raft::Effect::Restore(snapshot) => self.restore(&snapshot),
                     raft::Effect::Apply(index, entry) => self.apply(now, index, &entry),
-                    raft::Effect::Readable(read) => {
-                        if let Some(token) = self.reads.remove(&read) {
-                            let response = self.newest();
-                            self.pending.push_back(Effect::Reply(token, response));
-                        }
-                    }
-                    raft::Effect::Unreadable(read) => {
-                        if let Some(token) = self.reads.remove(&read) {
-                            self.pending
-                                .push_back(Effect::Reply(token, Response::error(503, "the leader changed; ask again")));
-                        }
-                    }
+                    raft::Effect::Readable(read) => self.readable(read),
+                    raft::Effect::Unreadable(read) => self.unreadable(read),
                 }
             }
         }
@@ -61,7 +51,8 @@
             }
         }
         self.publish();
-        self.relay.root_heard(now, self.sign_of_leader(now));
+        self.keep_contact(now);
+        self.relay.root_heard(self.gate.as_of(), self.sign_of_leader(now));
         for (to, dance) in self.relay.messages() {
             self.send(to, dance);
         }
--- a/brood/src/process/royal/mod.rs
+++ b/brood/src/process/royal/mod.rs
@@ -17,11 +17,14 @@
 
 mod calls;
 mod daemons;
+mod gate;
 mod log;
 mod proposals;
 mod status;
 
+use calls::Read;
 pub use calls::{Request, Response};
+use gate::Gate;
 use proposals::Proposal;
 
 #[derive(Debug)]
@@ -68,6 +71,7 @@
     in_quorum: bool,
     bootstrap: bool,
     raft: Raft,
+    gate: Gate,
     ledger: Ledger,
     registry: Registry,
     relay: Relay,
@@ -78,8 +82,7 @@
     proposer: u64,
     serial: u64,
     proposals: BTreeMap<u64, Proposal>,
-    reads: BTreeMap<u64, Token>,
-    /// Reads that found no leader yet.
+    reads: BTreeMap<u64, Read>,
     next_read: u64,
     published: u64,
     /// Bytes of configurations applied since the log was last compacted.
@@ -119,6 +122,7 @@
             in_quorum: settings.in_quorum,
             bootstrap: settings.bootstrap,
             raft,
+            gate: Gate::new(now, t, rng.u64(..)),
             ledger: Ledger::default(),
             registry: Registry::default(),
             relay,
@@ -208,9 +212,15 @@
         if self.raft.role() == Role::Leader {
             due = due.min(self.duty_due);
         }
+        if self.raft.role() != Role::Leader && self.raft.leader().is_some() {
+            due = due.min(self.gate.due);
+        }
         for p in self.proposals.values() {
             due = due.min(p.due);
         }
+        for read in self.reads.values() {
+            due = due.min(read.by);
+        }
         due
     }
 
@@ -252,6 +262,7 @@
             }
         }
         self.push_proposals(now);
+        self.expire_reads(now);
         self.relay.tick(now);
         if self.raft.confirmed(now) && now >= self.duty_due {
             self.duty_due = now + DUTY_TICK;
--- a/brood/src/process/royal/status.rs
+++ b/brood/src/process/royal/status.rs
@@ -34,6 +34,8 @@
             "term": self.raft.term(),
             "leader": leader.map(|l| l.ip.to_string()),
             "leader-control": leader.and_then(|l| self.control_of(l.ip)).map(|a| a.to_string()),
+            "in-contact": self.in_contact(now),
+            "contact-age-ms": self.gate.as_of().map(|at| now.duration_since(at).as_millis() as u64),
             "commit": self.raft.commit(),
             "last": self.raft.last_index(),
             "voters": self.raft.voters().iter().map(|v| v.ip.to_string()).collect::<Vec<_>>(),
--- a/brood/tests/queens/core.rs
+++ b/brood/tests/queens/core.rs
@@ -39,6 +39,8 @@
     events: BTreeMap<(Instant, u64), (usize, u64, Event)>,
     next: u64,
     cuts: BTreeSet<(usize, usize)>,
+    /// The log's messages come to this one so much later.
+    pub late: Option<(usize, Duration)>,
     pub replies: BTreeMap<Token, (Instant, Response)>,
     /// What was said to those who are no queens.
     pub said: Vec<(usize, Ipv4Addr, Dance)>,
@@ -48,6 +50,11 @@
     Ipv4Addr::new(10, 0, 0, n as u8 + 1)
 }
 
+/// Some forager's address.
+pub fn outside(n: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 9, n)
+}
+
 fn settings(n: usize, queens: usize, bootstrap: bool) -> Settings {
     let seeds: Vec<String> = (0..queens.min(3)).map(|q| format!("\"{}:80\"", ip(q))).collect();
     let text = format!(
@@ -74,6 +81,7 @@
             events: BTreeMap::new(),
             next: 0,
             cuts: BTreeSet::new(),
+            late: None,
             replies: BTreeMap::new(),
             said: Vec::new(),
         };
@@ -152,6 +160,11 @@
         self.cuts.clear();
     }
 
+    /// Whether such a message is on its way to a queen.
+    pub fn flies(&self, to: usize, what: impl Fn(&Dance) -> bool) -> bool {
+        self.events.values().any(|(n, _, event)| *n == to && matches!(event, Event::Hear(_, dance) if what(dance)))
+    }
+
     pub fn freeze(&mut self, n: usize) {
         self.seats[n].unread = Some(Vec::new());
     }
@@ -240,6 +253,14 @@
         self.call(n, "PUT", "/api/config", Some(&if_match.to_string()), body)
     }
 
+    /// What an instance says of itself.
+    pub fn beat(&mut self, n: usize, id: &str, status: &str, count: u64) -> Token {
+        let body = format!(
+            r#"{{"service":"s","address":"10.1.0.1:1","zone":"z","status":"{status}","read-from":"replica","call-count":{count}}}"#
+        );
+        self.call(n, "PUT", &format!("/api/instances/{id}"), None, body.as_bytes())
+    }
+
     /// The status that a call was answered with by now.
     pub fn status(&self, token: Token) -> Option<u16> {
         self.replies.get(&token).map(|(_, r)| r.status)
@@ -277,7 +298,11 @@
         for (to, dance) in out {
             match (0..self.seats.len()).find(|q| ip(*q) == to) {
                 Some(q) if self.cuts.contains(&(n, q)) => {}
-                Some(q) => self.after(DELAY, q, Event::Hear(ip(n), Box::new(dance))),
+                Some(q) => {
+                    let more = self.late.filter(|(late, _)| *late == q && matches!(dance, Dance::Raft(_)));
+                    let delay = DELAY + more.map_or(Duration::ZERO, |(_, delay)| delay);
+                    self.after(delay, q, Event::Hear(ip(n), Box::new(dance)));
+                }
                 None => self.said.push((n, to, dance)),
             }
         }
