If-Match is one number in digits, and a revision one that every reader of JSON takes alike

Cause: "+5", an If-Match with a single quote, and the revision 2^64-1 were taken; after the latter no change could ever be made again, since none has a higher number. Now If-Match is digits, in quotes or without, and a revision is at most 2^53-1 (RFC 7493); anything else is a 400 that names it. A revision that is no u64 was refused before. Refuted: that queens could judge one document differently. config::read looks at the bytes alone, and no order of a hash map reaches its verdict or message (the_verdict_on_a_document_is_the_same_each_time).

--- a/brood/src/process/royal/calls.rs
+++ b/brood/src/process/royal/calls.rs
@@ -60,6 +60,13 @@
     }
 }
 
+/// The number in an `If-Match`: digits, in quotes or without.
+fn version(text: &str) -> Option<u64> {
+    let text = text.trim();
+    let digits = text.strip_prefix('"').map_or(Some(text), |rest| rest.strip_suffix('"'))?;
+    digits.parse().ok().filter(|_| digits.bytes().all(|b| b.is_ascii_digit()))
+}
+
 impl Royal {
     pub fn request(&mut self, now: Instant, token: Token, request: Request) {
         if let Some(response) = self.answer(now, token, request) {
@@ -87,7 +94,7 @@
     }
 
     fn put_config(&mut self, now: Instant, token: Token, request: Request) -> Option<Response> {
-        let Some(if_match) = request.if_match.as_deref().and_then(|m| m.trim().trim_matches('"').parse().ok()) else {
+        let Some(if_match) = request.if_match.as_deref().and_then(version) else {
             return Some(Response::error(400, "If-Match must give the number of the version this builds on"));
         };
         match config::read(&request.body) {
--- a/brood/src/version/config.rs
+++ b/brood/src/version/config.rs
@@ -5,10 +5,13 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
+/// The greatest whole number that every reader of JSON takes for the same (RFC 7493, 2.2).
+pub const REVISION_MAX: u64 = (1 << 53) - 1;
+
 #[derive(Debug, Clone, PartialEq, Deserialize, Validate)]
 #[serde(rename_all = "kebab-case")]
 pub struct Document {
-    #[garde(skip)]
+    #[garde(range(max = REVISION_MAX))]
     pub revision: u64,
     #[garde(dive)]
     pub routes: Vec<RouteEntry>,
--- a/brood/tests/queens/orders.rs
+++ b/brood/tests/queens/orders.rs
@@ -184,3 +184,23 @@
         }
     }
 }
+
+/// What is no version number is refused at once, wherever it comes.
+#[test]
+fn if_match_is_one_number_or_the_call_is_refused() {
+    let mut core = Core::new(3);
+    let follower = core.followers()[0];
+    for bad in
+        [None, Some(""), Some("-1"), Some("+0"), Some("0, 0"), Some("0x0"), Some("\"0"), Some("W/\"0\""), Some("*")]
+    {
+        let told = core.call(follower, "PUT", "/api/config", bad, &document(3, "a"));
+        assert_eq!(core.status(told), Some(400), "{bad:?}");
+    }
+    for over in ["18446744073709551616", "99999999999999999999999999", "18446744073709551615", "9007199254740992"] {
+        let told = core.call(follower, "PUT", "/api/config", Some(over), &document(3, "a"));
+        assert_eq!(core.status(told), Some(400), "{over}");
+    }
+    let quoted = core.call(follower, "PUT", "/api/config", Some("\"0\""), &document(3, "a"));
+    core.run(300);
+    assert_eq!(core.status(quoted), Some(200));
+}
