A queen that ends takes nothing new, and what was told to an old leader is told to the new one at once

Cause: a proposal waited up to 0.9 s for its timer after the leader had changed; one that the leader refused waited as long; a queen about to end still took orders that it could only leave undecided. Change: proposals are due when the leader changes, and soon again when refused; PUT and DELETE get a 503 from one that leaves. Test: a_leader_that_ends_leaves_no_order_behind (fails without the first part).

--- a/brood/src/process/raft/membership.rs
+++ b/brood/src/process/raft/membership.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Whether this daemon is about to end.
+    pub fn leaves(&self) -> bool {
+        self.leaving.is_some()
+    }
+
     /// Whether others can go on without this daemon as well as they ever will.
     pub fn may_end(&self) -> bool {
         let alone = self.others().is_empty();
--- a/brood/src/process/royal/calls.rs
+++ b/brood/src/process/royal/calls.rs
@@ -76,6 +76,9 @@
     }
 
     fn answer(&mut self, now: Instant, token: Token, request: Request) -> Option<Response> {
+        if self.raft.leaves() && request.method != "GET" {
+            return Some(Response::error(503, "this daemon is about to end; ask another"));
+        }
         let path = request.path.split('?').next().unwrap_or_default().to_owned();
         match (request.method.as_str(), path.as_str()) {
             ("PUT", "/api/config") => self.put_config(now, token, request),
--- a/brood/src/process/royal/log.rs
+++ b/brood/src/process/royal/log.rs
@@ -39,9 +39,14 @@
         if self.was != Role::Leader && role == Role::Leader {
             let took = self.raft.elections.last().map_or(0, |d| d.as_millis());
             self.pending.push_back(Effect::Note(format!("leading term {} after {took} ms", self.raft.term())));
-            self.proposals.values_mut().for_each(|p| p.due = now);
         }
         self.was = role;
+        // Whatever was told to another leader is told to this one at once.
+        let leader = self.raft.leader().map(|l| (l.id, self.raft.term()));
+        if leader.is_some() && leader != self.told {
+            self.told = leader;
+            self.proposals.values_mut().for_each(|p| p.due = now);
+        }
         if self.raft.wants_snapshot() {
             let state = bincode::serde::encode_to_vec(&self.ledger, bincode::config::standard()).unwrap_or_default();
             if !state.is_empty() {
--- a/brood/src/process/royal/mod.rs
+++ b/brood/src/process/royal/mod.rs
@@ -89,6 +89,8 @@
     /// The time of day at the last tick, since 1970.
     wall: Duration,
     was: Role,
+    /// The leader, and its term, that proposals go to.
+    told: Option<(VoterId, u64)>,
     pending: VecDeque<Effect>,
 }
 
@@ -136,6 +138,7 @@
             duty_due: now,
             wall: Duration::ZERO,
             was: Role::Follower,
+            told: None,
             pending: VecDeque::new(),
         };
         royal.turn(now);
--- a/brood/src/process/royal/proposals.rs
+++ b/brood/src/process/royal/proposals.rs
@@ -62,8 +62,9 @@
             }
             let command = proposal.command.clone();
             if self.raft.role() == Role::Leader {
-                proposal.due = now + DECIDED_TIMER;
-                self.raft.propose(now, mark, command);
+                if self.raft.propose(now, mark, command).is_some() {
+                    proposal.due = now + DECIDED_TIMER;
+                }
             } else if matches!(proposal.purpose, Purpose::Duty) {
                 // Duties belong to a lead that is over.
                 self.proposals.remove(&serial);
--- a/brood/tests/queens/core.rs
+++ b/brood/tests/queens/core.rs
@@ -219,6 +219,15 @@
         self.now = until;
     }
 
+    /// It is told to end.
+    pub fn leave(&mut self, n: usize) {
+        let now = self.now;
+        if let Some(royal) = &mut self.seats[n].royal {
+            royal.leave(now);
+        }
+        self.perform(n);
+    }
+
     pub fn tick(&mut self, n: usize) {
         let (now, wall) = (self.now, self.now.duration_since(self.began));
         if let Some(royal) = &mut self.seats[n].royal {
--- a/brood/tests/queens/orders.rs
+++ b/brood/tests/queens/orders.rs
@@ -204,3 +204,23 @@
     core.run(300);
     assert_eq!(core.status(quoted), Some(200));
 }
+
+/// A leader that ends decides what it took, hands its lead on, and takes nothing more; a follower's order that was on its
+/// way to it is handed to the successor at once.
+#[test]
+fn a_leader_that_ends_leaves_no_order_behind() {
+    let mut core = Core::new(3);
+    let (old, follower) = (core.leader(), core.followers()[0]);
+    let taken = core.put(old, 0, &document(3, "a"));
+    core.leave(old);
+    let late = core.put(old, 3, &document(5, "b"));
+    assert_eq!(core.status(late), Some(503));
+    let on_its_way = core.put(follower, 3, &document(5, "b"));
+    core.run(60);
+    assert_ne!(core.leader(), old, "another leads within 60 ms");
+    core.run(60);
+    assert_eq!([taken, on_its_way].map(|t| core.status(t)), [Some(200); 2]);
+    assert!(core.royal(old).may_end() || core.royal(old).raft().is_voter());
+    core.run(1000);
+    assert!(core.royal(old).may_end());
+}
