--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod database;
+mod lost_commit;
 mod record;
 mod split_transaction;
 mod wire;
@@ -30,6 +31,7 @@
     record::say(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
+        "lost-commit" => lost_commit::run(folder, trouble),
         "split-transaction" => split_transaction::run(folder, trouble),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
