--- a/review/lab/database.rs
+++ b/review/lab/database.rs
@@ -85,6 +85,8 @@
     pub read_work: (u64, u64),
     pub instances: Vec<Instance>,
     pub commits: Vec<Commit>,
+    /// Reads and writes that ran: the statement's id, and the tenant that the connection was opened for.
+    pub ran: Vec<(String, String)>,
     /// The instances that were promoted: the id, and the ids of all writes in its log then.
     pub promoted: Vec<(String, Vec<String>)>,
     pub failover_calls: usize,
@@ -190,6 +192,7 @@
             read_work: options.read_work,
             instances: addresses.iter().enumerate().map(instance).collect(),
             commits: Vec::new(),
+            ran: Vec::new(),
             promoted: Vec::new(),
             failover_calls: 0,
             next_connection: 0,
@@ -308,6 +311,7 @@
             group: &self,
             index,
             name: format!("{}/{number}", self.lock().instances[index].id),
+            tenant: String::new(),
             transaction: None,
             values: BTreeMap::new(),
             prepared: BTreeMap::new(),
@@ -479,6 +483,7 @@
     group: &'a Arc<Group>,
     index: usize,
     name: String,
+    tenant: String,
     transaction: Option<Transaction>,
     values: BTreeMap<String, String>,
     prepared: BTreeMap<String, String>,
@@ -496,6 +501,7 @@
         {
             return lines.send("ERROR WRONGHOST another\r\n");
         }
+        self.tenant = fields.get(2).unwrap_or(&"").to_string();
         thread::sleep(HANDSHAKE);
         let ready = self.ready();
         lines.send(&ready)?;
@@ -537,7 +543,7 @@
         let answer = self.execute(id, text)?;
         let up = self.group.lock().instances[self.index].up;
         let shown = answer.lines().last().unwrap_or("").to_owned();
-        note(format!("{}: QUERY {id} {text} -> {shown}", self.name));
+        note(format!("{} for {}: QUERY {id} {text} -> {shown}", self.name, self.tenant));
         up.then_some(answer)
     }
 
@@ -670,6 +676,7 @@
         if !self.group.work(self.index, Duration::from_millis(time)) {
             return None;
         }
+        self.group.lock().ran.push((id.to_owned(), self.tenant.clone()));
         match &mut self.transaction {
             Some(transaction) => {
                 transaction.ran.push(id.to_owned());
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -6,8 +6,11 @@
 mod client;
 mod database;
 mod lost_commit;
+mod lost_connections;
+mod moved_key;
 mod record;
 mod split_transaction;
+mod stuck_lease;
 mod wire;
 mod world;
 
@@ -32,6 +35,9 @@
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
         "lost-commit" => lost_commit::run(folder, trouble),
+        "stuck-lease" => stuck_lease::run(folder, trouble),
+        "lost-connections" => lost_connections::run(folder, trouble),
+        "moved-key" => moved_key::run(folder, trouble),
         "split-transaction" => split_transaction::run(folder, trouble),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
--- a/review/lab/world.rs
+++ b/review/lab/world.rs
@@ -71,7 +71,7 @@
     pub net: Net,
     pub controllers: Vec<SocketAddr>,
     folder: PathBuf,
-    children: Vec<Child>,
+    children: Vec<(String, Child)>,
 }
 
 impl World {
@@ -81,15 +81,16 @@
         let controllers: Vec<SocketAddr> = (1..=3).map(|number| net.controller(number)).collect();
         let mut world = World { net, controllers, folder: folder.to_owned(), children: Vec::new() };
         for number in 1..=3 {
-            world.spawn("controller", number);
+            world.spawn("controller", number, true);
         }
         for number in 1..=poolers {
-            world.spawn("pooler", number);
+            world.spawn("pooler", number, true);
         }
         world
     }
 
-    fn spawn(&mut self, role: &str, number: u8) {
+    /// Starts a program; `bootstrap` only at the first start of the whole system.
+    fn spawn(&mut self, role: &str, number: u8, bootstrap: bool) {
         let name = format!("{role}-{number}");
         let core = role == "controller";
         let host = if core { 10 + number } else { 20 + number };
@@ -110,7 +111,7 @@
         let settings = format!(
             "node-name = \"{name}\"\nrole = \"{role}\"\nmachine-class = \"{class}\"\nserves = [\"{serves}\"]\n\
              ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"nl-brabant\"\ninternal-ports = [{}, {}]\n\
-             seed-nodes = [{}]\nbootstrap = true\nin-quorum = {core}\n{data_path}beat-ms = 1200\n\
+             seed-nodes = [{}]\nbootstrap = {bootstrap}\nin-quorum = {core}\n{data_path}beat-ms = 1200\n\
              [zones]\nhal-emc = \"nl-brabant\"\nhal-klimaat = \"nl-brabant\"\nhal-rf = \"nl-brabant\"\n\
              [listen]\n{listen}\n[limits]\n{limits}\n[tolerance]\nmachines = 1\nzones = 0\nregions = 0\n\
              [timing-bounds]\n{BOUNDS}[platform]\naddress = \"{}\"\nrate-per-s = 50.0\n\
@@ -133,9 +134,9 @@
             .spawn();
         match child {
             Ok(child) => {
-                self.children.push(child);
+                self.children.push((name, child));
                 // For the script, should this program be ended before it can end them.
-                let ids: Vec<String> = self.children.iter().map(|child| child.id().to_string()).collect();
+                let ids: Vec<String> = self.children.iter().map(|(_, child)| child.id().to_string()).collect();
                 std::fs::write(self.folder.join("processes"), ids.join(" ")).expect("the folder can be written");
             }
             Err(error) => {
@@ -182,14 +183,59 @@
         false
     }
 
+    /// The controller that leads, by its number: the one that answers a read of the configuration itself.
+    pub fn leader(&self) -> Option<u8> {
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until {
+            for number in 1..=3 {
+                let address = self.net.controller(number);
+                if let Ok((200, ..)) = call(address, "GET", "/api/config", "", "", Duration::from_secs(1)) {
+                    return Some(number);
+                }
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        None
+    }
+
+    /// Sends SIGTERM to a controller, and SIGKILL after the grace, as the platform does. Returns when it has ended.
+    /// `meanwhile` is called once, this long after SIGTERM, unless it has ended before.
+    pub fn stop_controller(&mut self, number: u8, grace: Duration, after: Duration, meanwhile: impl FnOnce()) {
+        let name = format!("controller-{number}");
+        let place = self.children.iter().position(|(other, _)| *other == name).expect("the controller runs");
+        let (_, mut child) = self.children.remove(place);
+        let _ = Command::new("sh").args(["-c", &format!("kill -TERM {}", child.id())]).status();
+        let began = Instant::now();
+        say(format!("{name} gets SIGTERM"));
+        let mut meanwhile = Some(meanwhile);
+        while matches!(child.try_wait(), Ok(None)) {
+            if began.elapsed() >= after
+                && let Some(meanwhile) = meanwhile.take()
+            {
+                meanwhile();
+            }
+            if began.elapsed() >= grace {
+                let _ = child.kill();
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        say(format!("{name} ended {} ms after SIGTERM", began.elapsed().as_millis()));
+    }
+
+    /// Starts a controller that had ended.
+    pub fn restart_controller(&mut self, number: u8) {
+        self.spawn("controller", number, false);
+        say(format!("controller-{number} starts again"));
+    }
+
     /// The processes that have ended by themselves.
     pub fn ended(&mut self) -> usize {
-        let ended = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
+        let ended = |(_, child): &mut (String, Child)| matches!(child.try_wait(), Ok(Some(_)));
         self.children.iter_mut().map(ended).filter(|ended| *ended).count()
     }
 
     pub fn end(&mut self) {
-        for child in &mut self.children {
+        for (_, child) in &mut self.children {
             let _ = child.kill();
             let _ = child.wait();
         }
