--- a/review/lab/database.rs
+++ b/review/lab/database.rs
@@ -5,7 +5,7 @@
 
 use crate::record::{note, say};
 use crate::wire::{Lines, call, split};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -85,6 +85,8 @@
     pub read_work: (u64, u64),
     pub instances: Vec<Instance>,
     pub commits: Vec<Commit>,
+    /// Ids of the reads, writes and commits that arrived.
+    pub arrived: BTreeSet<String>,
     /// Reads and writes that ran: the statement's id, and the tenant that the connection was opened for.
     pub ran: Vec<(String, String)>,
     /// The instances that were promoted: the id, and the ids of all writes in its log then.
@@ -192,6 +194,7 @@
             read_work: options.read_work,
             instances: addresses.iter().enumerate().map(instance).collect(),
             commits: Vec::new(),
+            arrived: BTreeSet::new(),
             ran: Vec::new(),
             promoted: Vec::new(),
             failover_calls: 0,
@@ -581,6 +584,7 @@
             "PAUSE" | "RESUME" => return Some(self.group.lock().status_row(self.index)),
             _ => {}
         }
+        self.group.lock().arrived.insert(id.to_owned());
         // An instance that fails part of its requests: this one was run, and fails.
         let fails = {
             let mut state = self.group.lock();
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -4,6 +4,7 @@
 //! was sent, answered and run. Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
+mod cut_requests;
 mod database;
 mod lost_commit;
 mod lost_connections;
@@ -36,6 +37,7 @@
         "lost-commit" => lost_commit::run(folder, trouble),
         "stuck-lease" => stuck_lease::run(folder, trouble),
         "lost-connections" => lost_connections::run(folder, trouble),
+        "cut-requests" => cut_requests::run(folder, trouble),
         "split-transaction" => split_transaction::run(folder, trouble),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
--- a/review/lab/stuck_lease.rs
+++ b/review/lab/stuck_lease.rs
@@ -91,16 +91,16 @@
     let leader = world.leader().ok_or("no controller leads")?;
     say(format!("controller-{leader} leads"));
     for number in (1..=3).filter(|number| *number != leader) {
-        world.stop_controller(number, GRACE, GRACE, || ());
+        world.stop("controller", number, GRACE, GRACE, || ());
         thread::sleep(START_AFTER);
-        world.restart_controller(number);
+        world.restart("controller", number);
         thread::sleep(GAP);
     }
     if world.leader() != Some(leader) {
         return Err("the leader has changed meanwhile".to_owned());
     }
     let crashing = Arc::clone(group);
-    world.stop_controller(leader, GRACE, CRASH_AFTER, move || {
+    world.stop("controller", leader, GRACE, CRASH_AFTER, move || {
         crashing.crash(0);
         thread::spawn(move || {
             thread::sleep(CRASH_TIME);
@@ -108,7 +108,7 @@
         });
     });
     thread::sleep(START_AFTER);
-    world.restart_controller(leader);
+    world.restart("controller", leader);
     Ok(())
 }
 
--- a/review/lab/world.rs
+++ b/review/lab/world.rs
@@ -71,15 +71,22 @@
     pub net: Net,
     pub controllers: Vec<SocketAddr>,
     folder: PathBuf,
+    /// The zone of all poolers, if they share one.
+    pooler_zone: Option<&'static str>,
     children: Vec<(String, Child)>,
 }
 
 impl World {
     /// Starts three controllers and so many poolers by the commands of the deploy file.
     pub fn start(folder: &Path, poolers: u8) -> World {
+        World::start_in(folder, poolers, None)
+    }
+
+    /// The same, with all poolers in one zone if it is given.
+    pub fn start_in(folder: &Path, poolers: u8, pooler_zone: Option<&'static str>) -> World {
         let net = Net::find();
         let controllers: Vec<SocketAddr> = (1..=3).map(|number| net.controller(number)).collect();
-        let mut world = World { net, controllers, folder: folder.to_owned(), children: Vec::new() };
+        let mut world = World { net, controllers, folder: folder.to_owned(), pooler_zone, children: Vec::new() };
         for number in 1..=3 {
             world.spawn("controller", number, true);
         }
@@ -97,6 +104,7 @@
         let ip = self.net.ip(host);
         let seeds: Vec<String> = self.controllers.iter().map(|seed| format!("\"{seed}\"")).collect();
         let zone = ZONES[(number as usize - 1) % 3];
+        let zone = self.pooler_zone.filter(|_| !core).unwrap_or(zone);
         let (class, limits) = match core {
             true => ("core", "memory-mb = 256\nopen-files = 4096\nlink-mbps = 1000.0\ndisk-mb = 128"),
             false => ("edge", "memory-mb = 260\nopen-files = 4300\nlink-mbps = 1000.0\ndisk-mb = 0"),
@@ -198,11 +206,11 @@
         None
     }
 
-    /// Sends SIGTERM to a controller, and SIGKILL after the grace, as the platform does. Returns when it has ended.
+    /// Sends SIGTERM to a daemon, and SIGKILL after the grace, as the platform does. Returns when it has ended.
     /// `meanwhile` is called once, this long after SIGTERM, unless it has ended before.
-    pub fn stop_controller(&mut self, number: u8, grace: Duration, after: Duration, meanwhile: impl FnOnce()) {
-        let name = format!("controller-{number}");
-        let place = self.children.iter().position(|(other, _)| *other == name).expect("the controller runs");
+    pub fn stop(&mut self, role: &str, number: u8, grace: Duration, after: Duration, meanwhile: impl FnOnce()) {
+        let name = format!("{role}-{number}");
+        let place = self.children.iter().position(|(other, _)| *other == name).expect("the daemon runs");
         let (_, mut child) = self.children.remove(place);
         let _ = Command::new("sh").args(["-c", &format!("kill -TERM {}", child.id())]).status();
         let began = Instant::now();
@@ -222,10 +230,50 @@
         say(format!("{name} ended {} ms after SIGTERM", began.elapsed().as_millis()));
     }
 
-    /// Starts a controller that had ended.
-    pub fn restart_controller(&mut self, number: u8) {
-        self.spawn("controller", number, false);
-        say(format!("controller-{number} starts again"));
+    /// Starts a daemon that had ended.
+    pub fn restart(&mut self, role: &str, number: u8) {
+        self.spawn(role, number, false);
+        say(format!("{role}-{number} starts again"));
+    }
+
+    /// Stops the poolers in turn, each this long after the one before, and starts each again a while after its end, as
+    /// the platform does. Returns when all run again.
+    pub fn restart_poolers(&mut self, numbers: &[u8], gap: Duration, grace: Duration, start_after: Duration) {
+        let began = Instant::now();
+        let mut waiting: Vec<(Duration, u8)> =
+            numbers.iter().enumerate().map(|(place, number)| (gap * place as u32, *number)).collect();
+        let mut ending: Vec<(Instant, u8, Child)> = Vec::new();
+        let mut ended: Vec<(Instant, u8)> = Vec::new();
+        while !waiting.is_empty() || !ending.is_empty() || !ended.is_empty() {
+            while waiting.first().is_some_and(|(at, _)| began.elapsed() >= *at) {
+                let (_, number) = waiting.remove(0);
+                let name = format!("pooler-{number}");
+                let place = self.children.iter().position(|(other, _)| *other == name).expect("the daemon runs");
+                let (_, child) = self.children.remove(place);
+                let _ = Command::new("sh").args(["-c", &format!("kill -TERM {}", child.id())]).status();
+                say(format!("{name} gets SIGTERM"));
+                ending.push((Instant::now(), number, child));
+            }
+            for place in (0..ending.len()).rev() {
+                let (since, number, child) = &mut ending[place];
+                if since.elapsed() >= grace {
+                    let _ = child.kill();
+                }
+                if !matches!(child.try_wait(), Ok(None)) {
+                    say(format!("pooler-{number} ended {} ms after SIGTERM", since.elapsed().as_millis()));
+                    ended.push((Instant::now(), *number));
+                    ending.remove(place);
+                }
+            }
+            for place in (0..ended.len()).rev() {
+                let (since, number) = ended[place];
+                if since.elapsed() >= start_after {
+                    self.restart("pooler", number);
+                    ended.remove(place);
+                }
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
     }
 
     /// The processes that have ended by themselves.
