The pooler logs why a transaction leaves its connection, and what is open when it ends

A transaction can be begun anew after a refusal, after the loss of its connection and after a late answer: the log now names the cause, how many of its statements had been sent, and the stage of the current one. At the end of a drain the log says when it ended, which connections came while draining, and, as an error (so that the ring is written out), how many requests were under way when the process ended.

--- a/engine/src/process/forwarding/forwarded_session.rs
+++ b/engine/src/process/forwarding/forwarded_session.rs
@@ -179,6 +179,11 @@
         self.session_state() == SessionState::InTransaction
     }
 
+    /// Whether a request of the client's is without its answer.
+    pub fn is_busy(&self) -> bool {
+        self.session_state() == SessionState::Busy
+    }
+
     /// Whether [`Self::handle_carrier_loss`] was called.
     pub fn is_carrier_lost(&self) -> bool {
         self.carrier_lost
--- a/engine/src/process/pooler/attempts.rs
+++ b/engine/src/process/pooler/attempts.rs
@@ -4,7 +4,7 @@
 use super::retry::{self, FailedAttempt, TransactionScope};
 use super::timeouts::{CONNECTION_LOSS_BACKOFF, HEDGE_TIMEOUT_MIN};
 use super::timers::{StatementRef, Timer};
-use super::{ConnectionId, Pooler, SessionId};
+use super::{ConnectionId, Effect, Pooler, SessionId};
 use crate::connection::client_session::{StatementKind, StatementStage, Transaction};
 use crate::request::error::RequestError;
 use std::time::{Duration, Instant};
@@ -14,6 +14,7 @@
 
     /// An instance guaranteed that the statement was not executed: it is tried elsewhere, or again, or answered.
     pub(super) fn handle_refusal(&mut self, now: Instant, session_id: SessionId, id: &str, code: &str) {
+        self.log_transaction_move(session_id, id, code);
         let Some(session) = self.sessions.get_mut(session_id) else { return };
         session.transaction.unbind();
         let Some(statement) = &mut session.statement else { return };
@@ -38,6 +39,19 @@
         }
     }
 
+    /// Logs that a transaction that was open on an instance is begun anew, with what it had sent by then. Several
+    /// statements sent mean that earlier ones were answered.
+    fn log_transaction_move(&mut self, session_id: SessionId, id: &str, cause: &str) {
+        let Some(session) = self.sessions.get(session_id) else { return };
+        if !session.transaction.is_bound() {
+            return;
+        }
+        let sent = session.statements_sent;
+        let stage = session.statement.as_ref().map(|statement| statement.stage);
+        let line = format!("session {session_id}: transaction leaves {id} after {cause}; {sent} sent, now {stage:?}");
+        self.effects.push(Effect::Log(line));
+    }
+
     fn note_deposed_primary(&mut self, now: Instant, service: &str) {
         if let Some(state) = self.services.get_mut(service) {
             state.deposed = true;
@@ -62,6 +76,7 @@
         connection_id: ConnectionId,
         id: &str,
     ) {
+        self.log_transaction_move(session_id, id, "the loss of its connection");
         let Some(session) = self.sessions.get_mut(session_id) else { return };
         if retry::may_restart_transaction(session, connection_id) {
             session.transaction.unbind();
@@ -185,6 +200,8 @@
             let error = RequestError::aborted("the answer was lost; the transaction is rolled back");
             return self.fail_statement(now, session_id, &error);
         }
+        self.log_transaction_move(session_id, &id, "a late answer");
+        let Some(session) = self.sessions.get_mut(session_id) else { return };
         if session.transaction.is_bound() {
             session.transaction.unbind();
             session.statements_sent = 0;
--- a/engine/src/process/pooler/draining.rs
+++ b/engine/src/process/pooler/draining.rs
@@ -50,6 +50,11 @@
         self.finish_input(now);
     }
 
+    /// Statements of clients that wait for their answers.
+    pub fn open_statements(&self) -> usize {
+        self.sessions.ids_where(|_, session| session.statement.is_some()).count()
+    }
+
     /// Whether what is sent now arrives soon. The leader's answers come by the same link as the clients' statements:
     /// where they are late, a statement may be on its way to a session that seems idle, and its client would learn late
     /// that the session was closed.
--- a/pooler/src/driver/client_session.rs
+++ b/pooler/src/driver/client_session.rs
@@ -55,6 +55,9 @@
         configure_socket(socket.get_ref(), SILENCE_TIMEOUT);
         let session_id = self.next_session_id.get();
         self.next_session_id.set(session_id + 1);
+        if let Some(since) = self.draining_since.get() {
+            tracing::info!(session_id, ?origin, after_sigterm = ?since.elapsed(), "accepted while draining");
+        }
         let stream = ByteStream::connected(self.executor, socket);
         self.client_streams.borrow_mut().insert(session_id, Rc::clone(&stream));
         let route = match origin {
--- a/pooler/src/driver/shutdown.rs
+++ b/pooler/src/driver/shutdown.rs
@@ -38,7 +38,21 @@
         self.tree.borrow_mut().leave();
         self.pooler.borrow_mut().send_final_report(now);
         self.perform_effects(now);
+        tracing::info!(elapsed = ?started_at.elapsed(), clients = self.client_streams.borrow().len(), "drained");
         smol::Timer::after(FINAL_SEND_WAIT).await;
+        self.report_cut_sessions(started_at);
+    }
+
+    /// Sessions that are still open at the end are cut off: writes the log out if any request of theirs is under way.
+    fn report_cut_sessions(&self, started_at: Instant) {
+        let clients = self.client_streams.borrow().len();
+        let requests = self.pooler.borrow().open_statements();
+        let unanswered_links = |link: &&CarrierLink| !link.session.is_carrier_lost() && link.session.is_busy();
+        let forwarded = self.carrier_links.borrow().values().filter(unanswered_links).count();
+        if requests + forwarded > 0 {
+            let elapsed = started_at.elapsed();
+            tracing::error!(?elapsed, clients, requests, forwarded, "the process ends with requests under way");
+        }
     }
 
     /// How far the drain is; [`DrainPhase::Serving`] before SIGTERM.
