PINNED: a transaction that the client has an answer from never begins again

Cause: a transaction may begin again elsewhere after a refusal, a lost connection or a late answer. How much of it the client had seen was a count beside the transaction, and the path of refusals, which a failed PREPARE or SET of the pooler's own takes too, did not look at it. It made the transaction lazy, and the next statement began a second one.

Why this works: an open transaction itself knows whether the client has an answer from it, and the only way off its connection (Transaction::restart) makes it lazy if not and failed if so. Its client gets ABORTED, and the connection is closed. The repeat of a refused first statement is a first statement again, for the usage counts and for further refusals (it was not: the count was not set back).

The stand-in database refuses statements of the pooler's own, and the judge compares the transactions in which statements ran.

--- a/engine/src/connection/client_session.rs
+++ b/engine/src/connection/client_session.rs
@@ -50,8 +50,6 @@
     pub client_activity: ClientActivity,
     /// For a forwarded session: the pooler that forwards it has been asked to close it, in this phase.
     pub close_requested: Option<DrainPhase>,
-    /// Statements of the current transaction that were sent to an instance.
-    pub statements_sent: u32,
     /// For a session that another pooler forwards: the configuration revision last sent to that one.
     pub forwarded_revision: Option<u64>,
     /// The session's input is not processed before this configuration revision is in force here.
@@ -75,7 +73,6 @@
             idle_since: None,
             client_activity: ClientActivity::default(),
             close_requested: None,
-            statements_sent: 0,
             forwarded_revision: None,
             required_revision: 0,
         }
--- a/engine/src/connection/transaction.rs
+++ b/engine/src/connection/transaction.rs
@@ -22,6 +22,9 @@
     Bound {
         /// That connection.
         connection_id: ConnectionId,
+        /// Whether the client has been sent an instance's answer from it. Such a transaction cannot begin anew: another
+        /// one would lack what was answered.
+        answered: bool,
         /// It only reads.
         read: bool,
         /// When the client began it.
@@ -56,6 +59,16 @@
         matches!(self, Transaction::Bound { .. })
     }
 
+    /// Whether it has failed and only its end is left.
+    pub fn is_failed(&self) -> bool {
+        matches!(self, Transaction::Failed { .. })
+    }
+
+    /// Whether the client has been sent an instance's answer from it, and it is open still.
+    pub fn is_answered(&self) -> bool {
+        matches!(self, Transaction::Bound { answered: true, .. })
+    }
+
     /// The connection on which it is open.
     pub fn connection_id(&self) -> Option<ConnectionId> {
         match self {
@@ -75,16 +88,28 @@
     /// A lazy transaction was begun on this connection; any other state stays.
     pub fn bind(&mut self, connection_id: ConnectionId) {
         *self = match std::mem::replace(self, Transaction::None) {
-            Transaction::Lazy { read, began_at, route } => Transaction::Bound { connection_id, read, began_at, route },
+            Transaction::Lazy { read, began_at, route } => {
+                Transaction::Bound { connection_id, answered: false, read, began_at, route }
+            }
             other => other,
         };
     }
 
-    /// A bound transaction becomes lazy again, to be begun on another connection; any other state stays. Only
-    /// for one that is certain to be rolled back where it was.
-    pub fn unbind(&mut self) {
+    /// The client is sent an instance's answer from it.
+    pub fn note_answer(&mut self) {
+        if let Transaction::Bound { answered, .. } = self {
+            *answered = true;
+        }
+    }
+
+    /// Takes a bound transaction off its connection, where it is certain to be rolled back. One that the client has no
+    /// answer from becomes lazy again, to be begun on another connection; any other has failed. Other states stay.
+    pub fn restart(&mut self) {
         *self = match std::mem::replace(self, Transaction::None) {
-            Transaction::Bound { read, began_at, route, .. } => Transaction::Lazy { read, began_at, route },
+            Transaction::Bound { answered: false, read, began_at, route, .. } => {
+                Transaction::Lazy { read, began_at, route }
+            }
+            Transaction::Bound { answered: true, .. } => Transaction::Failed { notified: false },
             other => other,
         };
     }
--- a/engine/src/process/pooler/answers.rs
+++ b/engine/src/process/pooler/answers.rs
@@ -166,9 +166,9 @@
             self.decrease_concurrency(now, &id);
         }
         let Some((session, statement)) = self.sessions.with_statement(session_id) else { return false };
-        // The error ended the transaction, and nothing of it had been executed before.
+        // The error ended the transaction, and the client has no answer from it.
         let transaction_only_statement =
-            session.transaction.is_bound() && answer.state != 'T' && session.statements_sent == 1;
+            session.transaction.is_bound() && answer.state != 'T' && !session.transaction.is_answered();
         let only_statement = session.transaction.is_none() || transaction_only_statement;
         if !retry::may_retry_refused(code, statement.kind, only_statement) {
             return false;
@@ -187,6 +187,7 @@
         self.remember_own_commit(now, session_id, connection_id, &answer);
         let Some(session) = self.sessions.get_mut(session_id) else { return };
         session.statement = None;
+        session.transaction.note_answer();
         let in_transaction = session.transaction.is_bound();
         let mut is_over = !in_transaction;
         match answer.state {
--- a/engine/src/process/pooler/attempts.rs
+++ b/engine/src/process/pooler/attempts.rs
@@ -12,11 +12,16 @@
 impl Pooler {
     // Refusals.
 
-    /// An instance guaranteed that the statement was not executed: it is tried elsewhere, or again, or answered.
+    /// An instance guaranteed that the statement was not executed: it is tried elsewhere, or again, or answered. What was
+    /// open on the session's connection is rolled back; a transaction that the client has answers from fails with it.
     pub(super) fn handle_refusal(&mut self, now: Instant, session_id: SessionId, id: &str, code: &str) {
         self.log_transaction_move(session_id, id, code);
         let Some(session) = self.sessions.get_mut(session_id) else { return };
-        session.transaction.unbind();
+        session.transaction.restart();
+        if session.transaction.is_failed() {
+            let error = RequestError::aborted("the instance refused to go on; the transaction is rolled back");
+            return self.fail_statement(now, session_id, &error);
+        }
         let Some(statement) = &mut session.statement else { return };
         statement.stage = StatementStage::Waiting;
         statement.refusals += 1;
@@ -39,16 +44,16 @@
         }
     }
 
-    /// Logs that a transaction that was open on an instance is begun anew, with what it had sent by then. Several
-    /// statements sent mean that earlier ones were answered.
+    /// Logs that a transaction leaves its connection, and whether it has to fail.
     fn log_transaction_move(&mut self, session_id: SessionId, id: &str, cause: &str) {
         let Some(session) = self.sessions.get(session_id) else { return };
         if !session.transaction.is_bound() {
             return;
         }
-        let sent = session.statements_sent;
+        let answered = session.transaction.is_answered();
         let stage = session.statement.as_ref().map(|statement| statement.stage);
-        let line = format!("session {session_id}: transaction leaves {id} after {cause}; {sent} sent, now {stage:?}");
+        let line =
+            format!("session {session_id}: transaction leaves {id} after {cause}; answered: {answered}, {stage:?}");
         self.effects.push(Effect::Log(line));
     }
 
@@ -79,8 +84,7 @@
         self.log_transaction_move(session_id, id, "the loss of its connection");
         let Some(session) = self.sessions.get_mut(session_id) else { return };
         if retry::may_restart_transaction(session, connection_id) {
-            session.transaction.unbind();
-            session.statements_sent = 0;
+            session.transaction.restart();
         }
         let Some(statement) = &mut session.statement else {
             if session.transaction.is_bound() {
@@ -202,10 +206,7 @@
         }
         self.log_transaction_move(session_id, &id, "a late answer");
         let Some(session) = self.sessions.get_mut(session_id) else { return };
-        if session.transaction.is_bound() {
-            session.transaction.unbind();
-            session.statements_sent = 0;
-        }
+        session.transaction.restart();
         if let Some(statement) = &mut session.statement {
             statement.stage = StatementStage::Waiting;
         }
--- a/engine/src/process/pooler/retry.rs
+++ b/engine/src/process/pooler/retry.rs
@@ -59,7 +59,7 @@
 pub(super) fn may_restart_transaction(session: &Session, connection_id: ConnectionId) -> bool {
     let Some(statement) = &session.statement else { return false };
     session.transaction.is_bound()
-        && session.statements_sent == 1
+        && !session.transaction.is_answered()
         && statement.kind != StatementKind::Commit
         && matches!(statement.stage, StatementStage::Sent(sent_on, _) if sent_on == connection_id)
 }
@@ -151,7 +151,7 @@
 
 /// Whether a late statement can only be given up together with its transaction: the client has answers from it.
 pub(super) fn must_abandon_transaction(session: &Session) -> bool {
-    session.transaction.is_bound() && session.statements_sent > 1
+    session.transaction.is_answered()
 }
 
 /// How long an answer may take before the statement is tried elsewhere, or its transaction given up: well above what
--- a/engine/src/process/pooler/sending.rs
+++ b/engine/src/process/pooler/sending.rs
@@ -143,7 +143,6 @@
         connection.expect(ExpectedAnswer::Statement, now);
         connection.since = now;
         statement.stage = StatementStage::Sent(connection_id, now);
-        session.statements_sent += 1;
         let line = format!("QUERY {} {wait}{text}\r\n", statement.id);
         self.effects.push(Effect::SendToBackend(connection_id, line));
     }
@@ -152,8 +151,7 @@
     fn count_usage(&mut self, session_id: SessionId) {
         let Some(session) = self.sessions.get_mut(session_id) else { return };
         let Some(statement) = &mut session.statement else { return };
-        let first = session.transaction.is_none() || session.statements_sent == 1;
-        if first && !std::mem::replace(&mut statement.counted, true) {
+        if !session.transaction.is_answered() && !std::mem::replace(&mut statement.counted, true) {
             self.usage.count(&statement.tenant);
         }
     }
--- a/engine/src/process/pooler/statements.rs
+++ b/engine/src/process/pooler/statements.rs
@@ -139,7 +139,6 @@
         let Some(Authorization { route, .. }) = self.authorize_statement(now, session_id) else { return };
         if let Some(session) = self.sessions.get_mut(session_id) {
             session.transaction = Transaction::Lazy { read, began_at: now, route };
-            session.statements_sent = 0;
         }
         self.reply_done(now, session_id, true);
     }
--- /dev/null
+++ b/engine/tests/pooler/main.rs
@@ -0,0 +1,4 @@
+//! The pooler's state machine, driven from outside: its client, its instance and the leader are the test.
+
+mod harness;
+mod transactions;
--- a/simulator/src/database/mod.rs
+++ b/simulator/src/database/mod.rs
@@ -15,6 +15,10 @@
 const REPLICATION_DELAY: Duration = Duration::from_millis(3);
 /// How long after a commit a replica has applied it.
 const APPLY_DELAY: Duration = Duration::from_millis(60);
+/// While statements that prepare a connection are refused: one in this many is.
+const REFUSED_SETUP_INTERVAL: u64 = 2;
+/// The codes of these refusals, in turn.
+const SETUP_REFUSAL_CODES: [&str; 2] = ["FAILED", "BUSY"];
 /// The position before the first commit.
 const LOG_START: Position = Position { term: 1, number: 0 };
 
@@ -45,6 +49,10 @@
     pub received: Position,
     /// Whether some answers are dropped.
     pub drops_answers: bool,
+    /// Whether it refuses some of the statements that prepare a connection.
+    pub refuses_setup: bool,
+    /// Statements that prepare a connection, since it refuses some.
+    setup_statements: u64,
     /// Whether it sends no more heartbeats.
     pub heartbeats_stopped: bool,
     /// When a controller acknowledged that it drains or ends.
@@ -69,6 +77,8 @@
             removed: false,
             received: LOG_START,
             drops_answers: false,
+            refuses_setup: false,
+            setup_statements: 0,
             heartbeats_stopped: false,
             drain_acknowledged_at: None,
             connections: HashMap::new(),
@@ -120,6 +130,19 @@
         self.term = log.term;
     }
 
+    /// The code by which a statement that prepares a connection is refused, if it is.
+    fn setup_refusal(&mut self) -> Option<&'static str> {
+        if !self.refuses_setup {
+            return None;
+        }
+        self.setup_statements += 1;
+        if !self.setup_statements.is_multiple_of(REFUSED_SETUP_INTERVAL) {
+            return None;
+        }
+        let refusals = self.setup_statements / REFUSED_SETUP_INTERVAL;
+        SETUP_REFUSAL_CODES.get(refusals as usize % SETUP_REFUSAL_CODES.len()).copied()
+    }
+
     /// The last position that a read sees.
     fn applied(&self, now: Duration, log: &GroupLog) -> Position {
         if self.is_primary {
--- a/simulator/src/database/protocol.rs
+++ b/simulator/src/database/protocol.rs
@@ -1,7 +1,7 @@
 //! The published protocol as the stand-in instance speaks it, and the checks on what reaches it.
 
 use super::{DatabaseInstance, GroupLog};
-use crate::judge::{Commit, ExpectedState, Judge, Violation};
+use crate::judge::{Commit, ExpectedState, Judge, TransactionNumber, Violation};
 use lichenfield_engine::connection::client_session::Position;
 use lichenfield_engine::connection::framing::{LineReader, NextLine};
 use lichenfield_engine::request::statement::{self, Statement, split_word};
@@ -62,6 +62,8 @@
     lines: LineReader,
     accepted: bool,
     state: TransactionState,
+    /// The open transaction.
+    transaction: TransactionNumber,
     /// Writes of the open transaction.
     pending_writes: Vec<String>,
     values: BTreeMap<String, String>,
@@ -200,6 +202,11 @@
         if connection.state == TransactionState::Failed && !ends_transaction {
             return connection.fail("MALFORMED", &self.id, self.received);
         }
+        if matches!(statement, Statement::Set { .. } | Statement::Prepare { .. })
+            && let Some(code) = self.setup_refusal()
+        {
+            return connection.fail(code, &self.id, self.received);
+        }
         match statement {
             Statement::Set { name, value } => {
                 connection.values.insert(name, value);
@@ -215,13 +222,14 @@
                     return connection.fail("READONLY", &self.id, self.received);
                 }
                 connection.state = TransactionState::InTransaction;
+                connection.transaction = context.judge.begin_transaction();
                 connection.pending_writes.clear();
             }
             Statement::Rollback => {
                 connection.state = TransactionState::Idle;
                 connection.pending_writes.clear();
             }
-            Statement::Commit => return self.commit_transaction(connection, context),
+            Statement::Commit => return self.commit_transaction(connection, id, context),
             Statement::Read => {
                 return self.run_data(connection, DataStatement { id, is_write: false, shape: None }, context);
             }
@@ -239,7 +247,13 @@
         connection.done(self.received)
     }
 
-    fn commit_transaction(&mut self, connection: &mut InstanceConnection, context: &mut GroupContext) -> Response {
+    fn commit_transaction(
+        &mut self,
+        connection: &mut InstanceConnection,
+        id: &str,
+        context: &mut GroupContext,
+    ) -> Response {
+        context.judge.record_run(id, connection.transaction);
         let failed = connection.state == TransactionState::Failed;
         connection.state = TransactionState::Idle;
         if failed {
@@ -263,6 +277,9 @@
         context: &mut GroupContext,
     ) -> Response {
         check_session_state(connection, &statement, context);
+        if connection.state == TransactionState::InTransaction {
+            context.judge.record_run(statement.id, connection.transaction);
+        }
         if !statement.is_write {
             let seen = self.applied(context.now, context.log);
             let row = format!("ROW {seen}\r\nDONE 0.stamp\r\n");
--- a/simulator/src/judge/mod.rs
+++ b/simulator/src/judge/mod.rs
@@ -69,6 +69,9 @@
     pub per_second: u32,
 }
 
+/// A transaction at an instance.
+pub type TransactionNumber = u64;
+
 /// A call made for a duty, such as failover.
 #[derive(Debug, Clone, Copy)]
 pub struct DutyCall<'a> {
@@ -113,6 +116,10 @@
     pub operations: usize,
     /// Operations that succeeded.
     pub succeeded: usize,
+    /// Transactions that instances have begun.
+    transactions: TransactionNumber,
+    /// The transactions in which each statement ran, by statement id.
+    runs: HashMap<String, Vec<TransactionNumber>>,
     leaders: BTreeMap<u64, usize>,
     applied: BTreeMap<u64, Entry>,
     last_fences: BTreeMap<String, FenceUse>,
@@ -194,6 +201,30 @@
         }
     }
 
+    /// An instance begins a transaction.
+    pub fn begin_transaction(&mut self) -> TransactionNumber {
+        self.transactions += 1;
+        self.transactions
+    }
+
+    /// An instance runs a statement of a transaction, or its `COMMIT`.
+    pub fn record_run(&mut self, statement: &str, transaction: TransactionNumber) {
+        self.runs.entry(statement.to_owned()).or_default().push(transaction);
+    }
+
+    /// PINNED: each statement of an acknowledged transaction ran in the one that its `COMMIT` ended. A statement may
+    /// have run before in others, which were rolled back.
+    pub fn check_transaction(&mut self, now: Duration, commit: &str, statements: &[String]) {
+        let committed = self.runs.get(commit).and_then(|runs| runs.last()).copied();
+        let ran_in_it = |statement: &&String| {
+            committed.is_some_and(|number| self.runs.get(*statement).is_some_and(|runs| runs.contains(&number)))
+        };
+        let missing: Vec<String> = statements.iter().filter(|statement| !ran_in_it(statement)).cloned().collect();
+        if !missing.is_empty() {
+            self.report(now, Violation::TransactionSplit { commit: commit.to_owned(), missing });
+        }
+    }
+
     /// QUOTA: no span holds more attempts than the limit allows. A changed limit counts once it is known
     /// everywhere and a span has passed; until then the higher one is allowed.
     pub fn check_quota(&mut self, limits: &[AcknowledgedLimit], span: Duration, until: Duration) {
--- a/simulator/src/judge/tests.rs
+++ b/simulator/src/judge/tests.rs
@@ -111,3 +111,19 @@
     assert_eq!(judge_after(30, 6), [""; 0]);
     assert_eq!(judge_after(30, 8), ["30.006 s: QUOTA: tenant 0 had 7 of 6 in a span"]);
 }
+
+#[test]
+fn an_acknowledged_transaction_that_lacks_a_statement_is_found() {
+    let mut judge = Judge::default();
+    let statements = ["w1".to_owned(), "w2".to_owned()];
+    let rolled_back = judge.begin_transaction();
+    judge.record_run("w1", rolled_back);
+    let committed = judge.begin_transaction();
+    judge.record_run("w2", committed);
+    judge.record_run("commit", committed);
+    judge.check_transaction(Duration::from_secs(1), "commit", &statements);
+    assert_eq!(findings(&judge), [r#"1.000 s: PINNED: commit committed a transaction without ["w1"]"#]);
+    judge.record_run("w1", committed);
+    judge.check_transaction(Duration::from_secs(2), "commit", &statements);
+    assert_eq!(judge.findings.len(), 1);
+}
--- a/simulator/src/judge/violation.rs
+++ b/simulator/src/judge/violation.rs
@@ -146,6 +146,14 @@
         /// What the client had set.
         expected: Option<String>,
     },
+    /// Statements of an acknowledged transaction did not run in the one that was committed.
+    #[error("PINNED: {commit} committed a transaction without {missing:?}")]
+    TransactionSplit {
+        /// Id of the `COMMIT`.
+        commit: String,
+        /// Ids of the statements that did not run in it.
+        missing: Vec<String>,
+    },
     /// A statement that no client had sent.
     #[error("UNASKED: {statement} was sent by no client")]
     UnknownStatement {
@@ -201,7 +209,9 @@
             Violation::RequestLost { .. } => "LOST",
             Violation::UnexpectedAnswer { .. } => "MIXED",
             Violation::StaleRead { .. } => "STALE",
-            Violation::WrongSessionValues { .. } | Violation::WrongShape { .. } => "PINNED",
+            Violation::WrongSessionValues { .. }
+            | Violation::WrongShape { .. }
+            | Violation::TransactionSplit { .. } => "PINNED",
             Violation::UnknownStatement { .. } => "UNASKED",
             Violation::LateWriteAcknowledged { .. } => "ONE",
             Violation::WriteRepeated { .. }
--- a/simulator/src/world/actions/mod.rs
+++ b/simulator/src/world/actions/mod.rs
@@ -38,6 +38,8 @@
 //! resume-replication               replicas receive commits again
 //! drop-answers                     a sixth of the instances' answers to clients' statements are lost
 //! deliver-answers                  answers are lost no more
+//! refuse-setup                     instances refuse every other statement that prepares a connection
+//! accept-setup                     they refuse none
 //! platform up | down               whether the platform's API can be reached
 //! measure-traffic                  begins to count what daemons send to each other
 //! ```
@@ -173,6 +175,10 @@
     DropAnswers,
     /// `deliver-answers`
     DeliverAnswers,
+    /// `refuse-setup`
+    RefuseSetup,
+    /// `accept-setup`
+    AcceptSetup,
     /// `platform`
     SetPlatform {
         /// Whether its API can be reached.
--- a/simulator/src/world/actions/parser.rs
+++ b/simulator/src/world/actions/parser.rs
@@ -42,6 +42,8 @@
             "resume-replication" => Action::ResumeReplication,
             "drop-answers" => Action::DropAnswers,
             "deliver-answers" => Action::DeliverAnswers,
+            "refuse-setup" => Action::RefuseSetup,
+            "accept-setup" => Action::AcceptSetup,
             "platform" => Action::SetPlatform { reachable: parse_reachable(words)? },
             "measure-traffic" => Action::MeasureTraffic,
             other => return Err(name.error(format!("unknown action \"{other}\""))),
--- a/simulator/src/world/clients.rs
+++ b/simulator/src/world/clients.rs
@@ -99,6 +99,8 @@
     reply: String,
     /// Writes of the attempt.
     write_ids: Vec<String>,
+    /// Reads and writes of the attempt's transaction, if it has begun one.
+    transaction_ids: Option<Vec<String>>,
     /// Whether the attempt has sent what commits its writes.
     commit_sent: bool,
     /// When the attempt's first read or transaction began.
@@ -120,6 +122,7 @@
             outstanding: None,
             reply: String::new(),
             write_ids: Vec::new(),
+            transaction_ids: None,
             commit_sent: false,
             read_since: None,
         }
@@ -129,6 +132,7 @@
         self.attempt_began = now;
         self.attempts += 1;
         self.write_ids.clear();
+        self.transaction_ids = None;
         self.commit_sent = false;
         self.read_since = None;
     }
@@ -141,19 +145,24 @@
         if prepares {
             statements.extend((0..=extra_values).map(|number| format!("SET mode{number} {}", self.operations)));
             statements.push("PREPARE q READ other".into());
-            statements.push("PREPARE p WRITE shape".into());
+            statements.push(format!("PREPARE p {}", self.written_shape()));
         }
         let operation: &[&str] = match kind {
             0 | 1 => &["READ thing"],
             2 if !only_reads => &["WRITE thing data"],
             3 if !only_reads => &["BEGIN", "READ thing", "WRITE thing data", "COMMIT"],
-            4 if !only_reads && prepares => &["BEGIN", "RUN p thing data", "COMMIT"],
+            4 if !only_reads && prepares => &["BEGIN", "WRITE thing data", "RUN p thing data", "COMMIT"],
             _ => &["BEGIN READ", "READ thing", "READ other", "COMMIT"],
         };
         statements.extend(operation.iter().map(|text| (*text).to_owned()));
         statements
     }
 
+    /// What it prepares as `p`, another one for each operation, so that connections have to be prepared ever anew.
+    fn written_shape(&self) -> String {
+        format!("WRITE shape{}", self.operations)
+    }
+
     /// Takes note of what a statement means for the attempt, before it is sent.
     fn note_sent(&mut self, now: Duration, statement: &ClientStatement) {
         let begins_read = statement.is_read() && self.read_since.is_none();
@@ -162,6 +171,13 @@
         }
         self.commit_sent |= statement.is_commit() || (statement.is_write() && self.script.is_empty());
         self.reply.clear();
+        if statement.text.starts_with("BEGIN") {
+            self.transaction_ids = Some(Vec::new());
+        } else if !statement.is_commit()
+            && let Some(ids) = &mut self.transaction_ids
+        {
+            ids.push(statement.id.clone());
+        }
         if statement.is_write() || statement.is_run() {
             self.write_ids.push(statement.id.clone());
         }
@@ -229,7 +245,7 @@
             return self.finish_operation(client, session_id);
         };
         if statement.is_read() || statement.is_write() || statement.is_run() {
-            let shape = statement.is_run().then(|| "WRITE shape".to_owned());
+            let shape = statement.is_run().then(|| state.written_shape());
             let expected = ExpectedState { values: state.values.clone(), shape };
             self.judge.expected.insert(statement.id.clone(), expected);
         }
@@ -288,6 +304,10 @@
         if statement.is_read() {
             self.check_freshness(client, &statement.id, reply);
         }
+        if statement.is_commit() {
+            let statements = self.clients[client].transaction_ids.take().unwrap_or_default();
+            self.judge.check_transaction(self.now, &statement.id, &statements);
+        }
         let commits_writes = statement.is_commit() && !self.clients[client].write_ids.is_empty();
         if statement.is_write() || commits_writes {
             self.record_acknowledgement(session_id, ready);
--- a/simulator/src/world/database_group.rs
+++ b/simulator/src/world/database_group.rs
@@ -238,4 +238,9 @@
     pub(super) fn set_answers_dropped(&mut self, dropped: bool) {
         self.instances.iter_mut().for_each(|instance| instance.drops_answers = dropped);
     }
+
+    /// Whether instances refuse some of the statements that prepare a connection.
+    pub(super) fn set_setup_refused(&mut self, refused: bool) {
+        self.instances.iter_mut().for_each(|instance| instance.refuses_setup = refused);
+    }
 }
--- a/simulator/src/world/perform.rs
+++ b/simulator/src/world/perform.rs
@@ -43,6 +43,8 @@
             Action::ResumeReplication => self.resume_replication(),
             Action::DropAnswers => self.set_answers_dropped(true),
             Action::DeliverAnswers => self.set_answers_dropped(false),
+            Action::RefuseSetup => self.set_setup_refused(true),
+            Action::AcceptSetup => self.set_setup_refused(false),
             Action::SetPlatform { reachable } => self.platform_reachable = reachable,
             Action::MeasureTraffic => self.measure_traffic(),
         }
