LOST: a pooler closes its listeners before it looks for clients for the last time

Cause: a pooler that had no client later than 2.6 s after SIGTERM sent its last messages, waited 60 ms and ended, and its listeners accepted to the last. The platform sends clients to daemons that are not ready while fewer than half of a zone's daemons are.

The final phase of the grace period (from 5.1 s) and the connections to carriers had no part in it.

Why this works: the order is a state machine that the driver and the simulator share (connection/shutdown.rs): drain, stop accepting, look again for clients, end. What the kernel has queued when a listener is closed is accepted and served. In the final phase of the grace period nothing is accepted or forwarded any more, and a carrier that was given up stays given up.

The scenarios' restart delay is 240 ms, so that with the final 60 ms, which are played now, poolers start when they did.

--- a/engine/src/connection/mod.rs
+++ b/engine/src/connection/mod.rs
@@ -6,6 +6,7 @@
 pub mod framing;
 pub mod pending_statement;
 pub mod position;
+pub mod shutdown;
 pub mod transaction;
 
 /// Identifies a client's session within the process.
--- a/pooler/src/driver/carrier_link.rs
+++ b/pooler/src/driver/carrier_link.rs
@@ -34,8 +34,10 @@
 }
 
 impl CarrierLink {
-    /// Gives the carrier up. A client that waits for an answer gets an error instead. Whether it got one.
+    /// Gives the carrier up, and with it any other that could have been tried. A client that waits for an answer gets an
+    /// error instead. Whether it got one.
     pub(super) fn sever(&mut self) -> bool {
+        self.unanswered = None;
         let error_lines =
             if self.session.is_carrier_lost() { String::new() } else { self.session.handle_carrier_loss() };
         self.client_stream.write(error_lines.as_bytes());
--- a/pooler/src/driver/client_session.rs
+++ b/pooler/src/driver/client_session.rs
@@ -1,11 +1,12 @@
 //! Clients' connections: accepting them, and deciding by a client's first line where its session is served.
 
 use super::PoolerDriver;
+use lichenfield_engine::connection::draining::DrainPhase;
 use lichenfield_engine::process::pooler::SessionId;
 use lichenfield_runtime::byte_stream::ByteStream;
 use lichenfield_runtime::socket::{self, ListenError, configure_socket};
-use smol::Async;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
+use smol::{Async, Task};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,12 @@
     Pooler,
 }
 
+/// A task that accepts connections. It ends once its sender is dropped.
+pub(super) struct AcceptTask {
+    task: Task<()>,
+    stop_sender: smol::channel::Sender<()>,
+}
+
 /// Where a client's bytes go.
 enum SessionRoute {
     /// Not decided yet: what the client has sent so far.
@@ -34,29 +41,55 @@
 }
 
 impl PoolerDriver {
-    /// Starts the accept task for `address`, which runs as long as the process.
+    /// Starts the accept task for `address`, which runs until [`Self::stop_accepting`].
     pub(super) fn listen_for_sessions(
         self: &Rc<Self>,
         address: SocketAddrV4,
         origin: SessionOrigin,
     ) -> Result<(), ListenError> {
         let listener = socket::listen(address)?;
+        let (stop_sender, stop) = smol::channel::bounded(1);
         let driver = Rc::clone(self);
-        let accept_sessions = async move {
-            loop {
-                driver.accept_session(socket::accept(&listener).await, origin);
-            }
-        };
-        self.executor.spawn(accept_sessions).detach();
+        let task = self.executor.spawn(async move { driver.accept_sessions(listener, origin, stop).await });
+        self.accept_tasks.borrow_mut().push(AcceptTask { task, stop_sender });
         Ok(())
     }
 
+    /// Accepts until told to stop, at last what the kernel has queued by then, and closes the listener.
+    async fn accept_sessions(
+        self: Rc<Self>,
+        listener: Async<TcpListener>,
+        origin: SessionOrigin,
+        stop: smol::channel::Receiver<()>,
+    ) {
+        let stopped = || async {
+            let _ = stop.recv().await;
+            None
+        };
+        while let Some(socket) = smol::future::or(async { Some(socket::accept(&listener).await) }, stopped()).await {
+            self.accept_session(socket, origin);
+        }
+        while let Some(socket) = socket::accept_queued(&listener) {
+            self.accept_session(socket, origin);
+        }
+    }
+
+    /// Closes the listeners: who connects from now on is refused by the kernel and goes elsewhere at once.
+    pub(super) async fn stop_accepting(&self) {
+        let tasks = std::mem::take(&mut *self.accept_tasks.borrow_mut());
+        for AcceptTask { task, stop_sender } in tasks {
+            drop(stop_sender);
+            task.await;
+        }
+    }
+
     fn accept_session(self: &Rc<Self>, socket: Async<TcpStream>, origin: SessionOrigin) {
         configure_socket(socket.get_ref(), SILENCE_TIMEOUT);
         let session_id = self.next_session_id.get();
         self.next_session_id.set(session_id + 1);
-        if let Some(since) = self.draining_since.get() {
-            tracing::info!(session_id, ?origin, after_sigterm = ?since.elapsed(), "accepted while draining");
+        if let Some(shutdown) = self.shutdown.get() {
+            let after_sigterm = shutdown.started_at().elapsed();
+            tracing::info!(session_id, ?origin, ?after_sigterm, "accepted while draining");
         }
         let stream = ByteStream::connected(self.executor, socket);
         self.client_streams.borrow_mut().insert(session_id, Rc::clone(&stream));
@@ -113,11 +146,13 @@
         }
     }
 
-    /// Decides by the client's first line where the session is served, and passes on what was received so far.
+    /// Decides by the client's first line where the session is served, and passes on what was received so far. A daemon
+    /// that gives its clients their final answers forwards nothing more.
     fn choose_route(self: &Rc<Self>, session_id: SessionId, stream: &Rc<ByteStream>, received: &[u8]) -> SessionRoute {
         let first_line = received.split(|byte| *byte == b'\n').next().unwrap_or_default();
         let carriers = self.reachable_carriers(&String::from_utf8_lossy(first_line));
-        if carriers.is_empty() || self.forwarding_port.is_none() {
+        let is_closing = self.drain_phase(Instant::now()) >= DrainPhase::Closing;
+        if is_closing || carriers.is_empty() || self.forwarding_port.is_none() {
             self.serve_locally(session_id, received);
             return SessionRoute::Local;
         }
--- a/pooler/src/driver/mod.rs
+++ b/pooler/src/driver/mod.rs
@@ -21,7 +21,8 @@
 use crate::ListenAddresses;
 use backend_connection::BackendConnection;
 use carrier_link::CarrierLink;
-use client_session::SessionOrigin;
+use client_session::{AcceptTask, SessionOrigin};
+use lichenfield_engine::connection::shutdown::Shutdown;
 use lichenfield_engine::process::dissemination::partial_view::{PartialView, PeerDescriptor};
 use lichenfield_engine::process::dissemination::tree::{DisseminationTree, TreeOptions};
 use lichenfield_engine::process::pooler::{ConnectionId, Pooler, SessionId};
@@ -57,8 +58,10 @@
     /// Carriers that could not be reached, with the time of the next attempt.
     unreachable_carriers: Shared<HashMap<Ipv4Addr, Instant>>,
     backend_connections: Shared<HashMap<ConnectionId, BackendConnection>>,
-    /// Since when the daemon drains.
-    draining_since: Cell<Option<Instant>>,
+    /// The tasks that accept connections of clients and of poolers.
+    accept_tasks: Shared<Vec<AcceptTask>>,
+    /// The shutdown, once SIGTERM has come.
+    shutdown: Cell<Option<Shutdown>>,
     /// The time between SIGTERM and the end of the process.
     grace: Duration,
     timer: Rc<TimerHandle>,
@@ -106,7 +109,8 @@
             forwarding_port: settings.forwarding_port(),
             unreachable_carriers: shared(HashMap::new()),
             backend_connections: shared(HashMap::new()),
-            draining_since: Cell::new(None),
+            accept_tasks: shared(Vec::new()),
+            shutdown: Cell::new(None),
             grace: bounds.grace(),
             timer: TimerHandle::new(),
             usage_window: Cell::new(bounds.usage_window()),
--- a/pooler/src/driver/shutdown.rs
+++ b/pooler/src/driver/shutdown.rs
@@ -3,44 +3,56 @@
 use super::PoolerDriver;
 use super::carrier_link::CarrierLink;
 use lichenfield_engine::connection::draining::{DrainPhase, SESSIONS_CLOSED_PER_STEP};
+use lichenfield_engine::connection::shutdown::{Shutdown, ShutdownStep};
 use lichenfield_engine::process::pooler::SessionId;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// How often a draining daemon looks for sessions that it may close.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
-/// The platform goes on sending new clients for up to this long after the readiness probe failed. A daemon without
-/// sessions waits for them, for half its grace at most.
-const LATE_CLIENT_WAIT: Duration = Duration::from_millis(2600);
 /// Time for the last messages to leave before the process ends.
 const FINAL_SEND_WAIT: Duration = Duration::from_millis(60);
 
 impl PoolerDriver {
     /// Drains after SIGTERM: idle sessions are closed first; open transactions get half the grace, running statements
-    /// a little more; then whoever still waits gets the true state of its request. [`DrainPhase`] has the shares.
+    /// a little more; then whoever still waits gets the true state of its request. [`DrainPhase`] has the shares,
+    /// [`Shutdown`] the order.
     pub(super) async fn drain(self: &Rc<Self>) {
         let started_at = Instant::now();
-        self.draining_since.set(Some(started_at));
+        self.shutdown.set(Some(Shutdown::new(started_at, self.grace)));
         self.pooler.borrow_mut().begin_draining(started_at);
         self.perform_effects(started_at);
-        let late_client_wait = LATE_CLIENT_WAIT.min(self.grace / 2);
         loop {
-            smol::Timer::after(DRAIN_INTERVAL).await;
             let now = Instant::now();
-            let phase = self.drain_phase(now);
-            let all_gone = self.client_streams.borrow().is_empty() && now.duration_since(started_at) > late_client_wait;
-            if phase == DrainPhase::Finished || all_gone {
-                break;
+            match self.next_shutdown_step(now) {
+                ShutdownStep::Drain(phase) => {
+                    self.drain_step(now, phase);
+                    smol::Timer::after(DRAIN_INTERVAL).await;
+                }
+                ShutdownStep::StopAccepting => self.stop_accepting().await,
+                ShutdownStep::End => break,
             }
-            self.drain_step(now, phase);
         }
+        if !self.client_streams.borrow().is_empty() {
+            self.close_all_sessions(Instant::now());
+        }
+        self.send_last_messages().await;
+        self.report_cut_sessions(started_at);
+    }
+
+    fn next_shutdown_step(&self, now: Instant) -> ShutdownStep {
+        let Some(mut shutdown) = self.shutdown.get() else { return ShutdownStep::Drain(DrainPhase::Serving) };
+        let step = shutdown.next_step(now, self.client_streams.borrow().len());
+        self.shutdown.set(Some(shutdown));
+        step
+    }
+
+    async fn send_last_messages(self: &Rc<Self>) {
         let now = Instant::now();
         self.tree.borrow_mut().leave();
         self.pooler.borrow_mut().send_final_report(now);
         self.perform_effects(now);
-        tracing::info!(elapsed = ?started_at.elapsed(), clients = self.client_streams.borrow().len(), "drained");
         smol::Timer::after(FINAL_SEND_WAIT).await;
-        self.report_cut_sessions(started_at);
     }
 
     /// Sessions that are still open at the end are cut off: writes the log out if any request of theirs is under way.
@@ -57,10 +69,7 @@
 
     /// How far the drain is; [`DrainPhase::Serving`] before SIGTERM.
     pub(super) fn drain_phase(&self, now: Instant) -> DrainPhase {
-        match self.draining_since.get() {
-            Some(since) => DrainPhase::after(now.duration_since(since), self.grace),
-            None => DrainPhase::Serving,
-        }
+        self.shutdown.get().map_or(DrainPhase::Serving, |shutdown| shutdown.phase(now))
     }
 
     /// Closes what may be closed now.
--- a/runtime/src/socket.rs
+++ b/runtime/src/socket.rs
@@ -52,6 +52,12 @@
     }
 }
 
+/// The next connection that the kernel has accepted already, if there is one.
+pub fn accept_queued(listener: &Async<TcpListener>) -> Option<Async<TcpStream>> {
+    let (stream, _) = listener.get_ref().accept().ok()?;
+    Async::new(stream).ok()
+}
+
 /// Sets the options of a connection: no Nagle delay for small messages, and a limit of `silence_timeout` for a peer
 /// that acknowledges nothing (`TCP_USER_TIMEOUT`, with keep-alive probes for an idle connection). A failure to set
 /// an option is ignored; the connection works without it.
--- a/simulator/src/judge/mod.rs
+++ b/simulator/src/judge/mod.rs
@@ -125,6 +125,8 @@
     last_fences: BTreeMap<String, FenceUse>,
     holder_calls: BTreeMap<String, Vec<HolderCall>>,
     usage_reports: BTreeMap<u64, String>,
+    /// Statements that have reached an instance.
+    arrived_statements: HashSet<String>,
     /// Attempts that have reached an instance, and when, by tenant.
     attempts: HashSet<String>,
     arrivals: BTreeMap<usize, Vec<Duration>>,
@@ -194,6 +196,16 @@
         self.usage_reports.len()
     }
 
+    /// A statement reaches an instance.
+    pub fn record_statement_arrival(&mut self, statement: &str) {
+        self.arrived_statements.insert(statement.to_owned());
+    }
+
+    /// Whether a statement has reached an instance.
+    pub fn has_arrived(&self, statement: &str) -> bool {
+        self.arrived_statements.contains(statement)
+    }
+
     /// A statement of an attempt reaches an instance.
     pub fn record_arrival(&mut self, now: Duration, tenant: usize, attempt: &str) {
         if self.attempts.insert(attempt.to_owned()) {
--- a/simulator/src/world/clients.rs
+++ b/simulator/src/world/clients.rs
@@ -199,13 +199,11 @@
         if self.clients_stopped || state.session.is_some() || !state.script.is_empty() {
             return;
         }
-        let now = self.instant();
-        let is_ready = |host: &HostIndex| self.hosts[*host].running_pooler().is_some_and(|pooler| pooler.ready(now));
-        let ready: Vec<HostIndex> = (self.controllers..self.hosts.len()).filter(is_ready).collect();
-        if ready.is_empty() {
+        let usable = self.poolers_for_new_clients();
+        if usable.is_empty() {
             return self.schedule(NO_POOLER_RETRY, Event::ClientConnects(client));
         }
-        let entry = ready[self.rng.usize(0..ready.len())];
+        let entry = usable[self.rng.usize(0..usable.len())];
         let key = &self.operator.keys[client % self.operator.keys.len()];
         let hello = format!("CONNECT {} {key}\r\n", self.clients[client].route.name());
         let session_id = self.open_session(entry, client, &hello);
@@ -218,6 +216,19 @@
         self.send_from_client(session_id, &hello);
     }
 
+    /// The platform sends new clients to the poolers that are ready; while fewer than half of them are, to any that
+    /// accepts connections.
+    fn poolers_for_new_clients(&self) -> Vec<HostIndex> {
+        let now = self.instant();
+        let poolers = self.controllers..self.hosts.len();
+        let is_ready = |host: &HostIndex| self.hosts[*host].running_pooler().is_some_and(|pooler| pooler.ready(now));
+        let ready: Vec<HostIndex> = poolers.clone().filter(is_ready).collect();
+        if !ready.is_empty() && ready.len() * 2 < poolers.len() {
+            return poolers.filter(|host| self.hosts[*host].accepts_clients()).collect();
+        }
+        ready
+    }
+
     fn begin_operation(&mut self, client: ClientIndex) {
         self.clients[client].operations += 1;
         self.clients[client].attempts = 0;
@@ -334,8 +345,8 @@
         let state = &mut self.clients[client];
         state.session = None;
         let outstanding = state.outstanding.take();
-        if outstanding.is_some_and(|statement| !statement.is_connect()) {
-            self.check_request_lost(client);
+        if let Some(statement) = outstanding.filter(|statement| !statement.is_connect()) {
+            self.check_request_lost(client, &statement.id);
             let commit_sent = self.clients[client].commit_sent;
             let outcome = if commit_sent { AttemptOutcome::Unknown } else { AttemptOutcome::NotExecuted };
             self.record_outcome(client, outcome);
@@ -345,12 +356,14 @@
         self.schedule(pause, Event::ClientConnects(client));
     }
 
-    /// LOST: without a disturbance, sessions are closed with an answer only.
-    fn check_request_lost(&mut self, client: ClientIndex) {
+    /// LOST: without a disturbance, sessions are closed with an answer only, unless the request has only just come and
+    /// was not passed on to an instance.
+    fn check_request_lost(&mut self, client: ClientIndex, statement: &str) {
         let is_calm = self.last_disturbance_at.is_none_or(|at| self.now - at > DISTURBANCE_EFFECT);
         let began_at = self.clients[client].attempt_began;
         let slack = LOSS_SLACK + self.network.client_latency;
-        if is_calm && self.now - began_at > slack {
+        let is_late = self.now - began_at > slack;
+        if is_calm && (is_late || self.judge.has_arrived(statement)) {
             self.judge.report(self.now, Violation::RequestLost { client, began_at });
         }
     }
--- a/simulator/src/world/connections.rs
+++ b/simulator/src/world/connections.rs
@@ -136,6 +136,7 @@
         }
         for statement in text.split(CLIENT_STATEMENT).skip(1) {
             let id = statement.split(' ').next().unwrap_or_default();
+            self.judge.record_statement_arrival(&format!("c{id}"));
             let Some((attempt, _)) = id.rsplit_once('-') else { continue };
             let client: Option<usize> = attempt.split('-').next().and_then(|client| client.parse().ok());
             let tenant = client.unwrap_or(0) % self.operator.keys.len();
--- a/simulator/src/world/draining.rs
+++ b/simulator/src/world/draining.rs
@@ -5,27 +5,27 @@
 use super::hosts::{Daemon, Drain, StopCause};
 use super::{HostIndex, SessionId, World};
 use lichenfield_engine::connection::draining::{DrainPhase, SESSIONS_CLOSED_PER_STEP};
+use lichenfield_engine::connection::shutdown::{Shutdown, ShutdownStep};
 use std::time::Duration;
 
 /// How long a pooler's graceful shutdown may take, by the settings.
 const DRAIN_GRACE: Duration = Duration::from_secs(6);
-/// New clients come to a pooler for a while after it has announced that it ends.
-const NEW_CLIENTS_PERIOD: Duration = Duration::from_millis(2600);
 /// How often a draining pooler closes sessions.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
+/// From the last step of a shutdown to the end of the process.
+const FINAL_SEND_WAIT: Duration = Duration::from_millis(60);
 /// From a pooler's end to its next start.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
+const RESTART_DELAY: Duration = Duration::from_millis(240);
 
 impl World {
     /// Begins the graceful shutdown of poolers (SIGTERM).
     pub(super) fn drain_poolers(&mut self, target: Target, restarts: bool) {
         let now = self.instant();
-        let since = self.now;
         for host in self.resolve(target) {
             let Daemon::Pooler(node) = &mut self.hosts[host].daemon else { continue };
             let Some(pooler) = &mut node.pooler else { continue };
             if node.drain.is_none() {
-                node.drain = Some(Drain { since, restarts });
+                node.drain = Some(Drain { shutdown: Shutdown::new(now, DRAIN_GRACE), restarts });
                 pooler.begin_draining(now);
                 self.process_effects(host);
                 self.drain_step(host);
@@ -45,7 +45,7 @@
     pub(super) fn drain_phase(&self, host: HostIndex) -> DrainPhase {
         match &self.hosts[host].daemon {
             Daemon::Pooler(node) => {
-                node.drain.map_or(DrainPhase::Serving, |drain| DrainPhase::after(self.now - drain.since, DRAIN_GRACE))
+                node.drain.map_or(DrainPhase::Serving, |drain| drain.shutdown.phase(self.instant()))
             }
             Daemon::Controller(_) => DrainPhase::Serving,
         }
@@ -53,14 +53,20 @@
 
     /// A draining pooler closes the sessions that it may, and ends once there are none.
     pub(super) fn drain_step(&mut self, host: HostIndex) {
-        let Daemon::Pooler(node) = &self.hosts[host].daemon else { return };
-        let (Some(_), Some(drain)) = (&node.pooler, node.drain) else { return };
-        let (now, phase) = (self.instant(), self.drain_phase(host));
+        let now = self.instant();
         let forwarded = self.forwarded_by(host);
-        let is_idle = forwarded.is_empty() && self.sessions.values().all(|session| session.pooler != host);
-        if phase == DrainPhase::Finished || (is_idle && self.now - drain.since > NEW_CLIENTS_PERIOD) {
-            return self.finish_drain(host, drain);
+        let served = self.sessions.values().filter(|session| session.pooler == host).count();
+        let Daemon::Pooler(node) = &mut self.hosts[host].daemon else { return };
+        let (Some(_), Some(drain)) = (&node.pooler, &mut node.drain) else { return };
+        match drain.shutdown.next_step(now, served + forwarded.len()) {
+            ShutdownStep::Drain(phase) => self.close_sessions_in_phase(host, forwarded, phase),
+            ShutdownStep::StopAccepting => self.drain_step(host),
+            ShutdownStep::End => self.follow_up(FINAL_SEND_WAIT, FollowUp::FinishDrain { pooler: host }),
         }
+    }
+
+    fn close_sessions_in_phase(&mut self, host: HostIndex, forwarded: Vec<SessionId>, phase: DrainPhase) {
+        let now = self.instant();
         if let Some(pooler) = self.hosts[host].running_pooler_mut() {
             match phase {
                 DrainPhase::Closing => pooler.close_all_sessions(now),
@@ -78,7 +84,10 @@
         sessions.map(|(session_id, _)| *session_id).collect()
     }
 
-    fn finish_drain(&mut self, host: HostIndex, drain: Drain) {
+    /// The process of a pooler that has drained ends.
+    pub(super) fn finish_drain(&mut self, host: HostIndex) {
+        let Daemon::Pooler(node) = &self.hosts[host].daemon else { return };
+        let (Some(_), Some(drain)) = (&node.pooler, node.drain) else { return };
         self.stop(host, StopCause::ProcessExit);
         if drain.restarts {
             let pooler = Target::Pooler(host - self.controllers);
--- a/simulator/src/world/events.rs
+++ b/simulator/src/world/events.rs
@@ -55,6 +55,8 @@
     SendConfig { revision: u64 },
     /// A draining pooler closes sessions.
     DrainStep { pooler: HostIndex },
+    /// The process of a pooler that has drained ends.
+    FinishDrain { pooler: HostIndex },
     /// A forwarded session that lost its carrier is closed once it may be.
     CloseSeveredSession { session_id: SessionId },
     /// An instance that has drained ends.
@@ -187,6 +189,7 @@
             FollowUp::IdleHeartbeats => self.send_idle_heartbeats(),
             FollowUp::SendConfig { revision } => self.send_config(revision),
             FollowUp::DrainStep { pooler } => self.drain_step(pooler),
+            FollowUp::FinishDrain { pooler } => self.finish_drain(pooler),
             FollowUp::CloseSeveredSession { session_id } => self.close_severed_session(session_id),
             FollowUp::RemoveInstance { instance } => self.remove_instance(instance),
         }
--- a/simulator/src/world/hosts.rs
+++ b/simulator/src/world/hosts.rs
@@ -2,6 +2,7 @@
 
 use super::actions::Target;
 use super::{HostIndex, World, network};
+use lichenfield_engine::connection::shutdown::Shutdown;
 use lichenfield_engine::process::consensus::{PersistentState, Write};
 use lichenfield_engine::process::controller::Controller;
 use lichenfield_engine::process::dissemination::partial_view::{PartialView, PeerDescriptor};
@@ -60,7 +61,7 @@
 /// A pooler's shutdown.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Drain {
-    pub(super) since: Duration,
+    pub(super) shutdown: Shutdown,
     /// Whether it is started again.
     pub(super) restarts: bool,
 }
@@ -131,6 +132,16 @@
         }
     }
 
+    /// Whether clients and other poolers can connect to the pooler of this host.
+    pub(super) fn accepts_clients(&self) -> bool {
+        match &self.daemon {
+            Daemon::Pooler(node) => {
+                node.pooler.is_some() && node.drain.is_none_or(|drain| drain.shutdown.is_accepting())
+            }
+            Daemon::Controller(_) => false,
+        }
+    }
+
     /// The running controller, if this host has one.
     pub(super) fn running_controller(&self) -> Option<&Controller> {
         match &self.daemon {
--- a/simulator/src/world/sessions.rs
+++ b/simulator/src/world/sessions.rs
@@ -50,7 +50,8 @@
         let revision = entry_pooler.newest_revision();
         for ip in carriers {
             let Some(carrier) = self.host_with_ip(ip) else { continue };
-            if !self.hosts[carrier].up || self.network.is_cut(entry, carrier) {
+            if !self.hosts[carrier].up || !self.hosts[carrier].accepts_clients() || self.network.is_cut(entry, carrier)
+            {
                 continue;
             }
             let Some(pooler) = self.hosts[carrier].running_pooler_mut() else { continue };
