A statement whose transaction's lease has just ended is answered at once

A later statement of a transaction that came when the lease had ended, but before its connections were closed, had its connection closed under it without being assigned to it. It stayed bound to a connection that was gone, in no queue, until its deadline; had its session still stood in a queue, it would have been sent elsewhere, outside its transaction (not seen).

The statement is assigned to its transaction's connection first and shares its fate: ABORTED, at once.

Test, failing before (no answer at all where ERROR ABORTED is expected): engine/tests/pooler, a_transaction_whose_lease_has_ended_fails_at_once.

--- a/engine/src/process/pooler/sending.rs
+++ b/engine/src/process/pooler/sending.rs
@@ -18,6 +18,7 @@
         epoch: Option<u64>,
     ) {
         let Some(session) = self.sessions.get_mut(session_id) else { return };
+        debug_assert!(!session.transaction.is_bound(), "an open transaction goes on where it is open");
         let Some(statement) = &mut session.statement else { return };
         let Some(connection) = self.connections.get_mut(connection_id) else { return };
         connection.state = ConnectionState::Busy(session_id);
@@ -63,15 +64,17 @@
 
     /// Sends a further statement of a transaction on its connection.
     pub(super) fn continue_transaction(&mut self, now: Instant, session_id: SessionId, connection_id: ConnectionId) {
+        if let Some(statement) = self.sessions.statement_mut(session_id) {
+            // From here on the statement shares the fate of the connection.
+            statement.stage = StatementStage::Setup(connection_id);
+        }
         if !self.may_use_connection(now, connection_id) {
             return self.close_connection(now, connection_id);
         }
-        let Some(session) = self.sessions.get_mut(session_id) else { return };
-        let Some(statement) = &mut session.statement else { return };
+        let Some((session, statement)) = self.sessions.with_statement(session_id) else { return };
         let Some(connection) = self.connections.get_mut(connection_id) else { return };
         // A `RESET` within a transaction could end it, but none is sent here: sessions never unset variables.
         let texts = connection.align(&session.variables, statement.shape());
-        statement.stage = StatementStage::Setup(connection_id);
         if texts.is_empty() {
             return self.send_statement(now, session_id, connection_id);
         }
--- a/engine/tests/pooler/transactions.rs
+++ b/engine/tests/pooler/transactions.rs
@@ -1,6 +1,6 @@
 //! Transactions that an instance refuses to go on with.
 
-use crate::harness::Harness;
+use crate::harness::{Harness, LEASE_DURATION};
 use std::time::Duration;
 
 /// Guards against a transaction that goes on in a second one, without the statements that were answered in the first,
@@ -50,3 +50,16 @@
     harness.advance(Duration::from_millis(500));
     assert_eq!(harness.usage, 1);
 }
+
+/// Guards against a statement that waits until its deadline, bound to a connection that is closed, because its
+/// transaction's lease had just ended when it came.
+#[test]
+fn a_transaction_whose_lease_has_ended_fails_at_once() {
+    let mut harness = Harness::new();
+    let connection_id = harness.answered_transaction();
+    harness.advance_clock(LEASE_DURATION);
+    harness.send("QUERY c WRITE thing second");
+    let answer = harness.take_answer();
+    assert!(answer.starts_with("ERROR ABORTED "), "{answer:?}");
+    assert_eq!(harness.closed, [connection_id]);
+}
