The grace period of reloaded settings counts for the next SIGTERM

Both daemons took grace-s once, at their start. After it was shortened and SIGHUP sent, a pooler with clients drained by the old one, and was killed with requests under way.

Test, failing before ("the pooler waits for its client beyond its grace"): pooler/tests/shutdown.rs, a_changed_grace_period_counts_without_a_restart, with a real process. The controller has the same change and no test of its own.

--- a/controller/src/driver/mod.rs
+++ b/controller/src/driver/mod.rs
@@ -75,6 +75,8 @@
     /// The platform's address, if there is a platform.
     platform: Option<SocketAddrV4>,
     node: String,
+    /// Seconds between SIGTERM and SIGKILL.
+    grace_s: Cell<f64>,
 }
 
 /// How the daemon ends: after a signal, or with an error.
@@ -93,7 +95,7 @@
     driver.spawn_signal_task(settings_watcher, end_sender);
     let result = end.recv().await.unwrap_or(Ok(()));
     if result.is_ok() {
-        driver.shut_down(settings.timing_bounds.grace_s).await;
+        driver.shut_down(driver.grace_s.get()).await;
     }
     result
 }
@@ -123,6 +125,7 @@
             next_token: Cell::new(1),
             platform: settings.platform.as_ref().map(|platform| platform.address),
             node: settings.node_name.clone(),
+            grace_s: Cell::new(settings.timing_bounds.grace_s),
         }))
     }
 
@@ -182,6 +185,7 @@
     fn reload_settings(&self, settings_watcher: &mut SettingsWatcher) {
         if let Some(settings) = settings_watcher.changed() {
             tracing::info!("settings reloaded");
+            self.grace_s.set(settings.timing_bounds.grace_s);
             self.controller.borrow_mut().set_timing_bounds(settings.timing_bounds);
         }
     }
--- a/pooler/src/driver/mod.rs
+++ b/pooler/src/driver/mod.rs
@@ -63,7 +63,7 @@
     /// The shutdown, once SIGTERM has come.
     shutdown: Cell<Option<Shutdown>>,
     /// The time between SIGTERM and the end of the process.
-    grace: Duration,
+    grace: Cell<Duration>,
     timer: Rc<TimerHandle>,
     /// The length of a usage window.
     usage_window: Cell<Duration>,
@@ -111,7 +111,7 @@
             backend_connections: shared(HashMap::new()),
             accept_tasks: shared(Vec::new()),
             shutdown: Cell::new(None),
-            grace: bounds.grace(),
+            grace: Cell::new(bounds.grace()),
             timer: TimerHandle::new(),
             usage_window: Cell::new(bounds.usage_window()),
             next_session_id: Cell::new(1),
@@ -168,6 +168,7 @@
     fn apply_settings(&self, settings: Settings) {
         tracing::info!("settings reloaded");
         self.usage_window.set(settings.timing_bounds.usage_window());
+        self.grace.set(settings.timing_bounds.grace());
         self.pooler.borrow_mut().set_bounds(settings.timing_bounds);
     }
 }
--- a/pooler/src/driver/shutdown.rs
+++ b/pooler/src/driver/shutdown.rs
@@ -19,7 +19,7 @@
     /// [`Shutdown`] the order.
     pub(super) async fn drain(self: &Rc<Self>) {
         let started_at = Instant::now();
-        self.shutdown.set(Some(Shutdown::new(started_at, self.grace)));
+        self.shutdown.set(Some(Shutdown::new(started_at, self.grace.get())));
         self.pooler.borrow_mut().begin_draining(started_at);
         self.perform_effects(started_at);
         loop {
--- a/pooler/tests/shutdown.rs
+++ b/pooler/tests/shutdown.rs
@@ -3,13 +3,14 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
 const SESSION_PORT: u16 = 8465;
 const READINESS_PORT: u16 = 8460;
+const SETTINGS_FILE: &str = "settings.toml";
 const GRACE: Duration = Duration::from_secs(6);
 /// The process starts and ends well within this.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -18,42 +19,46 @@
 /// A pooler of its own on an address of its own.
 struct PoolerProcess {
     child: Child,
-    address: SocketAddr,
+    number: u8,
+    ip: Ipv4Addr,
     folder: PathBuf,
 }
 
 impl PoolerProcess {
     /// Starts the `number`th pooler of this test and waits until it accepts connections.
-    fn start(number: u8) -> PoolerProcess {
+    fn start(number: u8, grace: Duration) -> PoolerProcess {
         let process = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 100 + process[2] % 100, process[3], 10 + number);
         let folder = std::env::temp_dir().join(format!("pooler-shutdown-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        let settings = format!(
-            "node-name = \"pooler-{number}\"\nip = \"{ip}\"\nzone = \"local\"\ninternal-ports = [7560, 7575]\n\
-             seed-nodes = [\"{ip}:8462\"]\n[listen]\nsession = \"{ip}:{SESSION_PORT}\"\n\
-             readiness = \"{ip}:{READINESS_PORT}\"\n[timing-bounds]\ngrace-s = {}\n",
-            GRACE.as_secs()
-        );
-        let file = folder.join("settings.toml");
-        std::fs::write(&file, settings).expect("the settings can be written");
+        write_settings(&folder, number, ip, grace);
         let child = Command::new(env!("CARGO_BIN_EXE_lichenfield-pooler"))
             .arg("--settings")
-            .arg(&file)
+            .arg(folder.join(SETTINGS_FILE))
             .stdin(Stdio::null())
             .spawn()
             .expect("the pooler starts");
-        let pooler = PoolerProcess { child, address: (ip, SESSION_PORT).into(), folder };
+        let pooler = PoolerProcess { child, number, ip, folder };
         let started_at = Instant::now();
-        while TcpStream::connect(pooler.address).is_err() {
-            assert!(started_at.elapsed() < PATIENCE, "{} does not accept connections", pooler.address);
+        while TcpStream::connect(pooler.address()).is_err() {
+            assert!(started_at.elapsed() < PATIENCE, "pooler {number} does not accept connections");
             thread::sleep(POLL_INTERVAL);
         }
         pooler
     }
 
-    fn terminate(&self) {
-        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    fn address(&self) -> SocketAddr {
+        (self.ip, SESSION_PORT).into()
+    }
+
+    /// Gives it another grace period while it runs.
+    fn change_grace(&self, grace: Duration) {
+        write_settings(&self.folder, self.number, self.ip, grace);
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
+        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(status.is_ok_and(|status| status.success()));
     }
 
@@ -78,6 +83,16 @@
     }
 }
 
+fn write_settings(folder: &Path, number: u8, ip: Ipv4Addr, grace: Duration) {
+    let settings = format!(
+        "node-name = \"pooler-{number}\"\nip = \"{ip}\"\nzone = \"local\"\ninternal-ports = [7560, 7575]\n\
+         seed-nodes = [\"{ip}:8462\"]\n[listen]\nsession = \"{ip}:{SESSION_PORT}\"\n\
+         readiness = \"{ip}:{READINESS_PORT}\"\n[timing-bounds]\ngrace-s = {}\n",
+        grace.as_secs()
+    );
+    std::fs::write(folder.join(SETTINGS_FILE), settings).expect("the settings can be written");
+}
+
 /// What a client saw.
 #[derive(Debug, PartialEq, Eq)]
 enum Outcome {
@@ -114,12 +129,12 @@
     const FIRST_CLIENT: Duration = Duration::from_millis(2550);
     const CLIENT_INTERVAL: Duration = Duration::from_millis(8);
     const PAUSE_IN_LINE: Duration = Duration::from_millis(150);
-    let poolers: Vec<PoolerProcess> = (0..POOLERS).map(PoolerProcess::start).collect();
+    let poolers: Vec<PoolerProcess> = (0..POOLERS).map(|number| PoolerProcess::start(number, GRACE)).collect();
     let clients = poolers.into_iter().zip(0..).map(|(mut pooler, number)| {
         thread::spawn(move || {
-            pooler.terminate();
+            pooler.signal("-TERM");
             thread::sleep(FIRST_CLIENT + CLIENT_INTERVAL * number);
-            let outcome = connect_slowly(pooler.address, PAUSE_IN_LINE);
+            let outcome = connect_slowly(pooler.address(), PAUSE_IN_LINE);
             assert!(pooler.wait(), "pooler {number} does not end well");
             (number, outcome)
         })
@@ -129,3 +144,19 @@
     let cut: Vec<_> = outcomes.iter().filter(|(_, outcome)| *outcome == Outcome::Cut).collect();
     assert!(cut.is_empty(), "cut off: {cut:?} of {outcomes:?}");
 }
+
+/// Guards against a drain by the grace period of the process's start: after it was shortened, the process was killed with
+/// requests under way.
+#[test]
+fn a_changed_grace_period_counts_without_a_restart() {
+    const LONG_GRACE: Duration = Duration::from_secs(300);
+    const SHORT_GRACE: Duration = Duration::from_secs(2);
+    const RELOAD_TIME: Duration = Duration::from_secs(1);
+    let mut pooler = PoolerProcess::start(100, LONG_GRACE);
+    pooler.change_grace(SHORT_GRACE);
+    thread::sleep(RELOAD_TIME);
+    let silent_client = TcpStream::connect(pooler.address()).expect("a connection");
+    pooler.signal("-TERM");
+    assert!(pooler.wait(), "the pooler waits for its client beyond its grace");
+    drop(silent_client);
+}
