A draining pooler waits for clients that still read their last answer

A closed stream is read for 0.8 s at most, and then counted as gone, also while part of an answer waited for a slow reader: a pooler without other clients could end and cut it off. Its connection counts as a client's until the kernel has taken all of it. The bound is the one for peers that acknowledge nothing.

--- a/pooler/src/driver/client_session.rs
+++ b/pooler/src/driver/client_session.rs
@@ -111,12 +111,14 @@
         let driver = Rc::clone(&self);
         let client_stream = Rc::clone(&stream);
         let on_bytes = move |bytes: &[u8]| driver.route_client_bytes(session_id, &client_stream, &mut route, bytes);
-        stream.read(on_bytes).await;
-        self.client_streams.borrow_mut().remove(&session_id);
+        Rc::clone(&stream).read(on_bytes).await;
         self.remove_carrier_link(session_id);
         let now = Instant::now();
         self.pooler.borrow_mut().handle_client_closed(now, session_id);
         self.perform_effects(now);
+        // While the client still reads its last answer, its connection is open: a process that drains waits for it.
+        stream.flushed().await;
+        self.client_streams.borrow_mut().remove(&session_id);
     }
 
     fn route_client_bytes(
--- a/runtime/src/byte_stream.rs
+++ b/runtime/src/byte_stream.rs
@@ -15,6 +15,8 @@
 /// How long a connection whose sending side is closed still reads, and drops, what the peer sends. Closing a socket
 /// with unread bytes makes the kernel send a reset, which could destroy the last bytes written.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often it is checked whether the backlog is written.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Bytes taken from the kernel by one read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -127,6 +129,13 @@
         self.flush_running.set(false);
     }
 
+    /// Waits until the kernel has taken all that was written, or the connection has failed.
+    pub async fn flushed(&self) {
+        while self.flush_running.get() {
+            smol::Timer::after(FLUSH_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Closes the sending side once the backlog is written.
     pub fn close(&self) {
         if self.is_closed() {
