--- a/simulator/src/lib.rs
+++ b/simulator/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod judge;
 pub mod runner;
 pub mod scenario;
+pub mod soak;
 pub mod trace;
 pub mod world;
