--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -4,6 +4,7 @@
 //! that a world behaves alike in each run with the same seed, as far as the daemons in it do.
 
 pub mod actions;
+mod client;
 mod clients;
 mod connections;
 mod database_group;
@@ -25,7 +26,7 @@
 use crate::database::{DatabaseInstance, GroupLog};
 use crate::judge::Judge;
 use crate::trace::Trace;
-use clients::Client;
+use client::Client;
 use connections::ConnectionKey;
 use database_group::PRIMARY_INDEX;
 use events::{Event, EventQueue, FollowUp};
--- a/simulator/src/world/operator.rs
+++ b/simulator/src/world/operator.rs
@@ -1,7 +1,7 @@
 //! The operator: configurations and calls of the controllers' API.
 
 use super::actions::Action;
-use super::clients::ClientRoute;
+use super::client::ClientRoute;
 use super::events::FollowUp;
 use super::reads::MAX_STALENESS;
 use super::{HostIndex, InstanceIndex, SERVICE, World};
--- a/simulator/src/world/reads.rs
+++ b/simulator/src/world/reads.rs
@@ -1,6 +1,6 @@
 //! The freshness of what clients read.
 
-use super::clients::ClientRoute;
+use super::client::ClientRoute;
 use super::{ClientIndex, World};
 use crate::judge::{Acknowledgement, Violation};
 use lichenfield_engine::connection::client_session::Position;
