--- a/pooler/src/driver/shutdown.rs
+++ b/pooler/src/driver/shutdown.rs
@@ -36,7 +36,7 @@
         if !self.client_streams.borrow().is_empty() {
             self.close_all_sessions(Instant::now());
         }
-        self.send_last_messages().await;
+        self.send_last_messages(started_at).await;
         self.report_cut_sessions(started_at);
     }
 
@@ -47,8 +47,10 @@
         step
     }
 
-    async fn send_last_messages(self: &Rc<Self>) {
+    async fn send_last_messages(self: &Rc<Self>, started_at: Instant) {
         let now = Instant::now();
+        let clients = self.client_streams.borrow().len();
+        tracing::info!(elapsed = ?now.duration_since(started_at), clients, "drained");
         self.tree.borrow_mut().leave();
         self.pooler.borrow_mut().send_final_report(now);
         self.perform_effects(now);
--- a/simulator/src/soak/plan.rs
+++ b/simulator/src/soak/plan.rs
@@ -4,12 +4,6 @@
 use std::fmt;
 use std::time::Duration;
 
-/// Troubles for each second of the run.
-const TROUBLES_PER_SECOND: f64 = 0.8;
-/// Poolers that are restarted in one series, at most.
-const SERIES_MAX: usize = 6;
-/// The troubles of a series are this far apart, in milliseconds.
-const SERIES_GAP_MILLIS: std::ops::Range<u64> = 100..1600;
 /// How long a daemon stands still, in milliseconds.
 const FREEZE_MILLIS: std::ops::Range<u64> = 300..3000;
 /// How long an instance is out of order, in milliseconds.
@@ -50,6 +44,22 @@
             Size::Full => 300,
         }
     }
+
+    /// Troubles for each second of the run.
+    fn troubles_per_second(self) -> f64 {
+        match self {
+            Size::Small => 0.8,
+            Size::Full => 8.0,
+        }
+    }
+
+    /// How far apart the restarts of a series are, which takes in all poolers or all controllers, in milliseconds.
+    fn series_gap_millis(self) -> std::ops::Range<u64> {
+        match self {
+            Size::Small => 100..1600,
+            Size::Full => 5..100,
+        }
+    }
 }
 
 /// Which troubles may come.
@@ -143,12 +153,12 @@
 pub(super) fn draw(seed: u64, options: &SoakOptions) -> Vec<PlannedTrouble> {
     let mut draw = Draw { rng: fastrand::Rng::with_seed(seed), size: options.size, kinds: options.kinds };
     let length = options.length.as_millis() as u64;
-    let count = (options.length.as_secs_f64() * TROUBLES_PER_SECOND) as usize;
+    let count = (options.length.as_secs_f64() * options.size.troubles_per_second()) as usize;
     let mut troubles = Vec::new();
     while troubles.len() < count {
         let at = Duration::from_millis(draw.rng.u64(0..length));
         match draw.rng.u8(0..12) {
-            0..3 => draw.add_series(&mut troubles, at, draw.size.poolers().min(SERIES_MAX), Trouble::RestartPooler),
+            0..3 => draw.add_series(&mut troubles, at, draw.size.poolers(), Trouble::RestartPooler),
             3 => draw.add_series(&mut troubles, at, draw.size.controllers(), Trouble::RestartController),
             _ => troubles.push(PlannedTrouble { at, trouble: draw.trouble() }),
         }
@@ -171,7 +181,7 @@
         count: usize,
         trouble: impl Fn(usize) -> Trouble,
     ) {
-        let gap = Duration::from_millis(self.rng.u64(SERIES_GAP_MILLIS));
+        let gap = Duration::from_millis(self.rng.u64(self.size.series_gap_millis()));
         troubles.extend((0..count).map(|number| {
             let at = first + gap * number as u32;
             PlannedTrouble { at, trouble: trouble(number) }
