LOST: nothing that takes more than a statement begins after half of the grace period

What callers saw: where every edge machine is stopped in turn and removed, operations ended without an answer although an instance had run their first statement.

Cause: a pooler began transactions until its final phase (0.85 of the grace), which closes sessions between two statements.

Evidence, from the histories of the requests cut off: sent 5.06 to 5.1 s after SIGTERM, the first statement run and answered, closed 5.14 s after SIGTERM, at the final phase's first step.

Why this works: from half of the grace on the listeners are closed, BEGIN is answered BUSY and its session closed, and no new session is forwarded. Transactions that began before are rolled back there and their clients told, as before.

--- a/engine/src/connection/shutdown.rs
+++ b/engine/src/connection/shutdown.rs
@@ -1,6 +1,6 @@
 //! The order in which a pooler ends after SIGTERM: it drains, stops accepting connections, and ends once no client is
-//! left. It accepts to the last, since the platform may go on sending clients to a daemon that is not ready, but never
-//! while it ends: a connection that is accepted is served.
+//! left. It accepts for half of its grace period, since the platform may go on sending clients to a daemon that is not
+//! ready, but never while it ends: a connection that is accepted is served, and has the time for an operation.
 
 use super::draining::DrainPhase;
 use std::time::{Duration, Instant};
@@ -55,7 +55,7 @@
         let late_client_wait = LATE_CLIENT_WAIT.min(self.grace / 2);
         let expects_clients = now.duration_since(self.started_at) <= late_client_wait;
         let idle = client_connections == 0 && !expects_clients;
-        if self.accepting && (idle || phase >= DrainPhase::Closing) {
+        if self.accepting && (idle || phase >= DrainPhase::RollingBack) {
             self.accepting = false;
             return ShutdownStep::StopAccepting;
         }
--- a/engine/src/connection/shutdown/tests.rs
+++ b/engine/src/connection/shutdown/tests.rs
@@ -21,10 +21,11 @@
 }
 
 #[test]
-fn with_clients_to_the_last_it_stops_accepting_before_it_gives_their_final_answers() {
+fn with_clients_to_the_last_it_accepts_for_half_of_the_grace_period() {
     let (mut shutdown, at) = shutdown();
-    assert_eq!(shutdown.next_step(at(5000), 9), ShutdownStep::Drain(DrainPhase::RollingBack));
-    assert_eq!(shutdown.next_step(at(5150), 9), ShutdownStep::StopAccepting);
+    assert_eq!(shutdown.next_step(at(2950), 9), ShutdownStep::Drain(DrainPhase::Draining));
+    assert_eq!(shutdown.next_step(at(3050), 9), ShutdownStep::StopAccepting);
+    assert_eq!(shutdown.next_step(at(3050), 9), ShutdownStep::Drain(DrainPhase::RollingBack));
     assert_eq!(shutdown.next_step(at(5150), 9), ShutdownStep::Drain(DrainPhase::Closing));
     assert_eq!(shutdown.next_step(at(5750), 9), ShutdownStep::End);
 }
--- a/engine/src/process/pooler/draining.rs
+++ b/engine/src/process/pooler/draining.rs
@@ -22,6 +22,7 @@
 
     /// While shutting down: closes the sessions that may be closed in this phase, a few at a time.
     pub fn close_idle_sessions(&mut self, now: Instant, phase: DrainPhase) {
+        self.drain_phase = self.drain_phase.max(phase);
         if phase >= DrainPhase::RollingBack {
             self.roll_back_idle_transactions(now);
         }
@@ -35,7 +36,7 @@
 
     /// The end: whoever still waits gets the true state of its request, at once. To be called until no session is left.
     pub fn close_all_sessions(&mut self, now: Instant) {
-        self.closing = true;
+        self.drain_phase = DrainPhase::Closing;
         for session_id in self.sessions.ids() {
             let Some(session) = self.sessions.get(session_id) else { continue };
             let error = session.statement.as_ref().map(|statement| {
@@ -55,6 +56,16 @@
         self.sessions.ids_where(|_, session| session.statement.is_some()).count()
     }
 
+    /// The last phase of the shutdown: no statement is begun.
+    pub(super) fn is_closing(&self) -> bool {
+        self.drain_phase >= DrainPhase::Closing
+    }
+
+    /// Whether transactions may begin. One that began now would be rolled back before its client had ended it.
+    pub(super) fn may_begin_transactions(&self) -> bool {
+        self.drain_phase < DrainPhase::RollingBack
+    }
+
     /// Whether what is sent now arrives soon. The leader's answers come by the same link as the clients' statements:
     /// where they are late, a statement may be on its way to a session that seems idle, and its client would learn late
     /// that the session was closed.
--- a/engine/src/process/pooler/mod.rs
+++ b/engine/src/process/pooler/mod.rs
@@ -49,6 +49,7 @@
 pub use effect::Effect;
 
 use super::settings::TimingBounds;
+use crate::connection::draining::DrainPhase;
 use admission::AdmissionControl;
 use carriers::CarrierDirectory;
 use configuration::ActiveConfiguration;
@@ -93,8 +94,8 @@
     store_digest_sum: u64,
     /// Since when the process shuts down.
     draining_since: Option<Instant>,
-    /// The last phase of the shutdown: nothing new is begun.
-    closing: bool,
+    /// How far the shutdown is.
+    drain_phase: DrainPhase,
     effects: Vec<Effect>,
 }
 
@@ -118,7 +119,7 @@
             last_update_at: None,
             store_digest_sum: 0,
             draining_since: None,
-            closing: false,
+            drain_phase: DrainPhase::Serving,
             effects: Vec::new(),
         }
     }
--- a/engine/src/process/pooler/sessions.rs
+++ b/engine/src/process/pooler/sessions.rs
@@ -101,11 +101,12 @@
     }
 
     fn next_input(&mut self, session_id: SessionId) -> NextInput {
+        let is_closing = self.is_closing();
         let Some(session) = self.sessions.get_mut(session_id) else { return NextInput::Wait };
         if session.statement.is_some() {
             return NextInput::Wait;
         }
-        let behind = !self.closing && self.configuration.is_behind(session.required_revision);
+        let behind = !is_closing && self.configuration.is_behind(session.required_revision);
         // A line that names a newer revision is read in any case.
         if behind && session.input.buffered() > 0 && !session.input.starts_with(forwarding::REVISION_KEYWORD) {
             return NextInput::Wait;
@@ -157,7 +158,7 @@
     }
 
     fn authorize_connect(&self, database: &str, key: &str) -> Result<(), RequestError> {
-        if self.closing {
+        if self.is_closing() {
             return Err(RequestError::busy("the pooler is shutting down; reconnect to another one"));
         }
         self.configuration.authorize(database, key).map(|_tenant| ())
--- a/engine/src/process/pooler/statements.rs
+++ b/engine/src/process/pooler/statements.rs
@@ -47,7 +47,7 @@
     /// Handles a statement of the client.
     pub(super) fn handle_statement(&mut self, now: Instant, session_id: SessionId, query: Query) {
         let Query { id, text, statement } = query;
-        if self.closing {
+        if self.is_closing() {
             return self.refuse_at_shutdown(now, session_id);
         }
         let Some(session) = self.sessions.get(session_id) else { return };
@@ -136,6 +136,9 @@
 
     /// Begins a transaction; nothing is sent to an instance before its first statement.
     fn begin_transaction(&mut self, now: Instant, session_id: SessionId, read: bool) {
+        if !self.may_begin_transactions() {
+            return self.refuse_at_shutdown(now, session_id);
+        }
         let Some(Authorization { route, .. }) = self.authorize_statement(now, session_id) else { return };
         if let Some(session) = self.sessions.get_mut(session_id) {
             session.transaction = Transaction::Lazy { read, began_at: now, route };
--- a/engine/tests/pooler/harness.rs
+++ b/engine/tests/pooler/harness.rs
@@ -1,5 +1,6 @@
 //! A pooler with one service, whose instance, client and leader are played by the test.
 
+use lichenfield_engine::connection::draining::DrainPhase;
 use lichenfield_engine::process::dissemination::anti_entropy::{Instance as InstanceDescription, Update, UpdateValue};
 use lichenfield_engine::process::forwarding::PoolerShare;
 use lichenfield_engine::process::peer_message::{GrantedLease, LeaseGrant, PeerMessage};
@@ -40,6 +41,8 @@
     pub to_client: String,
     /// Connections that the pooler has closed.
     pub closed: Vec<ConnectionId>,
+    /// Whether the pooler has asked for the client's connection to be closed.
+    pub close_requested: bool,
     /// Usage reported last, of the only tenant.
     pub usage: u64,
 }
@@ -49,8 +52,15 @@
     pub fn new() -> Self {
         let now = Instant::now();
         let pooler = Pooler::new(now, "edge-1", "zone", TimingBounds::default(), 1);
-        let mut harness =
-            Harness { pooler, now, to_instance: vec![], to_client: String::new(), closed: vec![], usage: 0 };
+        let mut harness = Harness {
+            pooler,
+            now,
+            to_instance: vec![],
+            to_client: String::new(),
+            closed: vec![],
+            close_requested: false,
+            usage: 0,
+        };
         harness.pooler.handle_leader_redirect(now, LEADER);
         harness.pooler.apply_updates(now, &updates());
         harness.pooler.accept_session(SESSION);
@@ -60,6 +70,14 @@
         harness
     }
 
+    /// The pooler drains, and has come to this phase. Its client's connection stays open.
+    pub fn drain(&mut self, phase: DrainPhase) {
+        self.pooler.begin_draining(self.now);
+        self.pooler.close_idle_sessions(self.now, phase);
+        self.perform_effects();
+        self.close_requested = false;
+    }
+
     /// The client sends a line.
     pub fn send(&mut self, line: &str) {
         self.pooler.handle_client_bytes(self.now, SESSION, format!("{line}\r\n").as_bytes());
@@ -131,6 +149,7 @@
                 let lines = text.lines().map(|line| SentLine { connection_id, line: line.to_owned() });
                 self.to_instance.extend(lines);
             }
+            Effect::CloseClientIfIdle(_) => self.close_requested = true,
             Effect::CloseBackend(connection_id) => self.closed.push(connection_id),
             Effect::SendToPeer(_, PeerMessage::LeaseRequest(request)) => {
                 let usage = request.usage.values().filter_map(|counts| counts.get("acme"));
--- a/pooler/src/driver/client_session.rs
+++ b/pooler/src/driver/client_session.rs
@@ -149,12 +149,12 @@
     }
 
     /// Decides by the client's first line where the session is served, and passes on what was received so far. A daemon
-    /// that gives its clients their final answers forwards nothing more.
+    /// that begins no more transactions forwards no new sessions either.
     fn choose_route(self: &Rc<Self>, session_id: SessionId, stream: &Rc<ByteStream>, received: &[u8]) -> SessionRoute {
         let first_line = received.split(|byte| *byte == b'\n').next().unwrap_or_default();
         let carriers = self.reachable_carriers(&String::from_utf8_lossy(first_line));
-        let is_closing = self.drain_phase(Instant::now()) >= DrainPhase::Closing;
-        if is_closing || carriers.is_empty() || self.forwarding_port.is_none() {
+        let is_ending = self.drain_phase(Instant::now()) >= DrainPhase::RollingBack;
+        if is_ending || carriers.is_empty() || self.forwarding_port.is_none() {
             self.serve_locally(session_id, received);
             return SessionRoute::Local;
         }
--- a/simulator/src/world/clients.rs
+++ b/simulator/src/world/clients.rs
@@ -43,6 +43,7 @@
         state.pooler = self.sessions[&session_id].pooler;
         state.session = Some(session_id);
         state.values.clear();
+        state.transaction_ids = None;
         state.outstanding = Some(ClientStatement { id: String::new(), text: "CONNECT".into() });
         state.reply.clear();
         self.send_from_client(session_id, &hello);
@@ -174,6 +175,7 @@
     /// A session was closed by the other side.
     fn session_lost(&mut self, client: ClientIndex, session_id: SessionId) {
         self.sessions.remove(&session_id);
+        self.check_transaction_lost(client);
         let state = &mut self.clients[client];
         state.session = None;
         let outstanding = state.outstanding.take();
@@ -188,14 +190,29 @@
         self.schedule(pause, Event::ClientConnects(client));
     }
 
+    /// LOST, for a transaction: without a disturbance, a session is not closed before its end once an instance has got
+    /// one of its statements.
+    fn check_transaction_lost(&mut self, client: ClientIndex) {
+        let state = &self.clients[client];
+        let mut statements = state.transaction_ids.iter().flatten();
+        let has_arrived = statements.any(|statement| self.judge.has_arrived(statement));
+        if has_arrived && self.is_calm() {
+            let began_at = state.attempt_began;
+            self.judge.report(self.now, Violation::RequestLost { client, began_at });
+        }
+    }
+
+    fn is_calm(&self) -> bool {
+        self.last_disturbance_at.is_none_or(|at| self.now - at > DISTURBANCE_EFFECT)
+    }
+
     /// LOST: without a disturbance, sessions are closed with an answer only, unless the request has only just come and
     /// was not passed on to an instance.
     fn check_request_lost(&mut self, client: ClientIndex, statement: &str) {
-        let is_calm = self.last_disturbance_at.is_none_or(|at| self.now - at > DISTURBANCE_EFFECT);
         let began_at = self.clients[client].attempt_began;
         let slack = LOSS_SLACK + self.network.client_latency;
         let is_late = self.now - began_at > slack;
-        if is_calm && (is_late || self.judge.has_arrived(statement)) {
+        if self.is_calm() && (is_late || self.judge.has_arrived(statement)) {
             self.judge.report(self.now, Violation::RequestLost { client, began_at });
         }
     }
--- a/simulator/src/world/sessions.rs
+++ b/simulator/src/world/sessions.rs
@@ -45,6 +45,9 @@
 
     /// Forwards a session to the first carrier that can be reached and accepts it, if there is one.
     fn forward_session(&mut self, session_id: SessionId, entry: HostIndex, hello: &str) -> Option<HostIndex> {
+        if self.drain_phase(entry) >= DrainPhase::RollingBack {
+            return None;
+        }
         let entry_pooler = self.hosts[entry].running_pooler()?;
         let carriers = entry_pooler.carriers_for(hello);
         let revision = entry_pooler.newest_revision();
