Simulator: the judge by subject; the soak knows LOST of transactions and ends what it started

A session that the soak's client loses within a transaction of which an instance got a part counts as lost. On SIGTERM and Ctrl-C the soak ends its daemons.

--- a/simulator/src/judge/mod.rs
+++ b/simulator/src/judge/mod.rs
@@ -1,8 +1,11 @@
 //! Invariants that must hold whatever fails. The world reports what happens; the judge records each violation.
 
+mod quota;
 #[cfg(test)]
 mod tests;
+mod transactions;
 mod violation;
+mod writes;
 
 pub use violation::{Finding, Violation};
 
@@ -13,8 +16,6 @@
 
 /// Findings beyond this number are not recorded: the first ones matter.
 const MAX_FINDINGS: usize = 20;
-/// After a change of limits is acknowledged, every pooler enforces it within this time and one quota span.
-const LIMIT_PROPAGATION: Duration = Duration::from_secs(3);
 
 /// How an attempt at an operation ended for its client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -212,109 +213,4 @@
             self.arrivals.entry(tenant).or_default().push(now);
         }
     }
-
-    /// An instance begins a transaction.
-    pub fn begin_transaction(&mut self) -> TransactionNumber {
-        self.transactions += 1;
-        self.transactions
-    }
-
-    /// An instance runs a statement of a transaction, or its `COMMIT`.
-    pub fn record_run(&mut self, statement: &str, transaction: TransactionNumber) {
-        self.runs.entry(statement.to_owned()).or_default().push(transaction);
-    }
-
-    /// PINNED: each statement of an acknowledged transaction ran in the one that its `COMMIT` ended. A statement may
-    /// have run before in others, which were rolled back.
-    pub fn check_transaction(&mut self, now: Duration, commit: &str, statements: &[String]) {
-        let committed = self.runs.get(commit).and_then(|runs| runs.last()).copied();
-        let ran_in_it = |statement: &&String| {
-            committed.is_some_and(|number| self.runs.get(*statement).is_some_and(|runs| runs.contains(&number)))
-        };
-        let missing: Vec<String> = statements.iter().filter(|statement| !ran_in_it(statement)).cloned().collect();
-        if !missing.is_empty() {
-            self.report(now, Violation::TransactionSplit { commit: commit.to_owned(), missing });
-        }
-    }
-
-    /// QUOTA: no span holds more attempts than the limit allows. A changed limit counts once it is known
-    /// everywhere and a span has passed; until then the higher one is allowed.
-    pub fn check_quota(&mut self, limits: &[AcknowledgedLimit], span: Duration, until: Duration) {
-        let mut found = Vec::new();
-        for (tenant, arrivals) in &self.arrivals {
-            found.extend(first_excess(*tenant, arrivals, limits, span, until));
-        }
-        found.into_iter().for_each(|finding| self.report(finding.at, finding.violation));
-    }
-
-    /// Writes: committed once at most, none that was reported as not executed, none of the acknowledged missing.
-    pub fn check_writes(&mut self, now: Duration) {
-        let mut found = self.repeated_writes();
-        found.extend(self.late_writes());
-        found.extend(self.wrong_outcomes());
-        for violation in found {
-            self.report(now, violation);
-        }
-    }
-
-    fn repeated_writes(&self) -> Vec<Violation> {
-        let mut times_committed: BTreeMap<&String, usize> = BTreeMap::new();
-        for statement in self.commits.iter().flat_map(|commit| &commit.statements) {
-            *times_committed.entry(statement).or_default() += 1;
-        }
-        let repeated = times_committed.into_iter().filter(|(_, times)| *times > 1);
-        repeated.map(|(statement, times)| Violation::WriteRepeated { statement: statement.clone(), times }).collect()
-    }
-
-    fn late_writes(&self) -> Vec<Violation> {
-        let mut found = Vec::new();
-        for commit in self.commits.iter().filter(|commit| commit.is_late) {
-            for statement in &commit.statements {
-                if self.outcomes.get(statement) == Some(&AttemptOutcome::Acknowledged) {
-                    let term = commit.position.term;
-                    found.push(Violation::LateWriteAcknowledged { statement: statement.clone(), term });
-                }
-            }
-        }
-        found
-    }
-
-    fn wrong_outcomes(&self) -> Vec<Violation> {
-        let committed: HashSet<&String> = self.commits.iter().flat_map(|commit| &commit.statements).collect();
-        let mut found = Vec::new();
-        for (statement, outcome) in &self.outcomes {
-            let statement = statement.clone();
-            match (outcome, committed.contains(&statement)) {
-                (AttemptOutcome::Acknowledged, false) => {
-                    found.push(Violation::AcknowledgedWriteMissing { statement });
-                }
-                (AttemptOutcome::NotExecuted, true) => found.push(Violation::RejectedWriteCommitted { statement }),
-                _ => {}
-            }
-        }
-        found
-    }
-}
-
-/// The first span in which a tenant exceeded its limit. Spans are those that end with an arrival.
-fn first_excess(
-    tenant: usize,
-    arrivals: &[Duration],
-    limits: &[AcknowledgedLimit],
-    span: Duration,
-    until: Duration,
-) -> Option<Finding> {
-    let settle = span + LIMIT_PROPAGATION;
-    for (index, end) in arrivals.iter().enumerate().filter(|(_, at)| **at <= until) {
-        let start = end.saturating_sub(span);
-        let Some(in_force) = limits.iter().rev().find(|limit| limit.at + settle <= *end) else { continue };
-        let newer = limits.iter().filter(|limit| limit.at + settle > *end);
-        let highest = newer.map(|limit| limit.per_second).fold(in_force.per_second, u32::max);
-        let seen = arrivals[..=index].iter().rev().take_while(|at| **at > start).count();
-        let allowed = f64::from(highest) * (span.as_secs_f64() + 1.0);
-        if seen as f64 > allowed {
-            return Some(Finding { at: *end, violation: Violation::QuotaExceeded { tenant, seen, allowed } });
-        }
-    }
-    None
 }
--- a/simulator/src/soak/mod.rs
+++ b/simulator/src/soak/mod.rs
@@ -29,6 +29,7 @@
 use deployment::{Deployment, Role};
 use entry::Entry;
 use instances::InstanceGroup;
+use lichenfield_runtime::signals::{self, ProcessSignal};
 use lichenfield_runtime::{Executor, Shared, shared};
 use observations::Observations;
 use operator::Operator;
@@ -47,6 +48,8 @@
 const FINAL_CHECK_TIME: Duration = Duration::from_secs(3);
 /// Daemons write their logs out within this time.
 const LOG_DUMP_TIME: Duration = Duration::from_millis(500);
+/// Exit code after SIGTERM or Ctrl-C.
+const EXIT_INTERRUPTED: i32 = 2;
 /// How often daemons are looked after.
 const SUPERVISION_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -108,6 +111,17 @@
     Ok(soak.finish(troubles.len()).await)
 }
 
+/// Ends all daemons when the soak itself is to end.
+async fn end_on_signal(deployment: Shared<Deployment>) {
+    let handler = move |signal| {
+        if signal == ProcessSignal::Terminate {
+            deployment.borrow_mut().end(false);
+            std::process::exit(EXIT_INTERRUPTED);
+        }
+    };
+    signals::watch(handler).await;
+}
+
 impl Soak {
     /// Starts everything and waits until all poolers are ready.
     async fn start(executor: Executor, seed: u64, options: &SoakOptions) -> Result<Rc<Soak>, DeploymentError> {
@@ -119,6 +133,7 @@
         let entry = Entry::start(executor, poolers);
         let operator = Rc::new(Operator::new(executor, addresses, Rc::clone(&observations), options.size));
         executor.spawn(Rc::clone(&operator).run_changes()).detach();
+        executor.spawn(end_on_signal(Rc::clone(&deployment))).detach();
         let soak = Rc::new(Soak { executor, deployment, observations, instances, entry, operator });
         executor.spawn(Rc::clone(&soak).supervise()).detach();
         let began = Instant::now();
--- a/simulator/src/soak/observations.rs
+++ b/simulator/src/soak/observations.rs
@@ -81,13 +81,15 @@
         self.writes += 1;
     }
 
-    /// LOST: a connection has ended without the answer to a statement.
-    pub(super) fn check_lost(&mut self, client: usize, statement: &str, sent_at: Instant) {
-        let passed_on = self.judge.has_arrived(statement);
+    /// LOST: a connection has ended without the answer to a statement; `transaction`: the statements so far of the one
+    /// that it belongs to.
+    pub(super) fn check_lost(&mut self, client: usize, statement: &str, transaction: &[String], sent_at: Instant) {
+        let mut operation = transaction.iter().map(String::as_str).chain([statement]);
+        let passed_on = operation.any(|part| self.judge.has_arrived(part));
         if self.is_calm_since(sent_at) && (passed_on || sent_at.elapsed() > LOSS_SLACK) {
             let began_at = sent_at.duration_since(self.began_at);
             let violation = Violation::RequestLost { client, began_at };
-            let where_to = if passed_on { "an instance got it" } else { "no instance got it" };
+            let where_to = if passed_on { "an instance got some of it" } else { "no instance got it" };
             self.report(format!("{violation} ({statement}; {where_to})"));
         }
     }
--- a/simulator/src/soak/operation.rs
+++ b/simulator/src/soak/operation.rs
@@ -77,7 +77,8 @@
             let sent_at = Instant::now();
             let Ok(answer) = session.query(&id, text).await else {
                 let mut observations = soak.observations.borrow_mut();
-                observations.check_lost(client.number, &id, sent_at);
+                let transaction: &[String] = if attempt.in_transaction { &attempt.transaction } else { &[] };
+                observations.check_lost(client.number, &id, transaction, sent_at);
                 attempt.record_outcome(&mut observations, attempt.outcome_without_answer());
                 return OperationEnd::SessionOver;
             };
