--- a/simulator/src/soak/deployment.rs
+++ b/simulator/src/soak/deployment.rs
@@ -13,6 +13,8 @@
 
 /// From SIGTERM to SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
+/// A process that is killed has this time to write its log out.
+const LOG_TIME: Duration = Duration::from_millis(50);
 /// From the end of a process to its next start.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 
@@ -242,6 +244,9 @@
         && now >= *since + GRACE
         && matches!(child.try_wait(), Ok(None))
     {
+        // Its log says what it waited for.
+        signal(child, "-USR1");
+        std::thread::sleep(LOG_TIME);
         let _ = child.kill();
         let _ = child.wait();
         daemon.process = Process::Down(now + RESTART_DELAY);
