SIGHUP does not end a daemon that is starting

Cause: the handlers were registered after the settings were read and the listeners opened; until then SIGHUP has its default effect, as the exit status shows. They are registered first of all now, and what comes while a daemon starts waits until it handles signals.

Test, failing before ("the process has ended"): pooler/tests/shutdown.rs, a_process_that_is_starting_survives_a_reload.

--- a/controller/src/driver/mod.rs
+++ b/controller/src/driver/mod.rs
@@ -22,7 +22,7 @@
 use lichenfield_runtime::http::{self, HttpRequest, HttpResponse};
 use lichenfield_runtime::peer_links::PeerLinks;
 use lichenfield_runtime::socket::ListenError;
-use lichenfield_runtime::startup::{self, DaemonConfig, ProcessSignal, SettingsWatcher};
+use lichenfield_runtime::startup::{self, DaemonConfig, ProcessSignal, ProcessSignals, SettingsWatcher};
 use lichenfield_runtime::{Executor, Shared, TimerHandle, shared};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -84,7 +84,8 @@
 
 /// Runs a controller until a signal or a failed store ends it.
 pub async fn serve(executor: Executor, config: DaemonConfig<RequiredSettings>) -> Result<(), DriverError> {
-    let DaemonConfig { settings, required: RequiredSettings { control, data_path }, settings_watcher } = config;
+    let DaemonConfig { settings, required: RequiredSettings { control, data_path }, settings_watcher, signals } =
+        config;
     let (written_sender, written) = smol::channel::unbounded();
     let driver = ControllerDriver::start(executor, &settings, data_path, written_sender)?;
     driver.listen_to_peers()?;
@@ -92,7 +93,7 @@
     let (end_sender, end) = smol::channel::bounded(1);
     driver.spawn_store_task(written, end_sender.clone());
     driver.spawn_timer_task();
-    driver.spawn_signal_task(settings_watcher, end_sender);
+    driver.spawn_signal_task(signals, settings_watcher, end_sender);
     let result = end.recv().await.unwrap_or(Ok(()));
     if result.is_ok() {
         driver.shut_down(driver.grace_s.get()).await;
@@ -171,14 +172,19 @@
     }
 
     /// Follows signals. SIGTERM ends [`serve`]'s wait, which then shuts down (see `shutdown`).
-    fn spawn_signal_task(self: &Rc<Self>, mut settings_watcher: SettingsWatcher, end: EndSender) {
+    fn spawn_signal_task(
+        self: &Rc<Self>,
+        signals: ProcessSignals,
+        mut settings_watcher: SettingsWatcher,
+        end: EndSender,
+    ) {
         let driver = Rc::clone(self);
         let handle_signal = move |signal| match signal {
             ProcessSignal::Terminate => drop(end.try_send(Ok(()))),
             ProcessSignal::DumpLog => lichenfield_runtime::log_ring::dump(),
             ProcessSignal::ReloadSettings => driver.reload_settings(&mut settings_watcher),
         };
-        self.executor.spawn(startup::watch(handle_signal)).detach();
+        self.executor.spawn(startup::watch(signals, handle_signal)).detach();
     }
 
     /// Takes the timing bounds from the settings file if it has changed; other settings need a restart.
--- a/pooler/src/driver/mod.rs
+++ b/pooler/src/driver/mod.rs
@@ -30,7 +30,7 @@
 use lichenfield_runtime::byte_stream::ByteStream;
 use lichenfield_runtime::http::{self, HttpResponse};
 use lichenfield_runtime::peer_links::PeerLinks;
-use lichenfield_runtime::signals::{self, ProcessSignal};
+use lichenfield_runtime::signals::{self, ProcessSignal, ProcessSignals};
 use lichenfield_runtime::socket::ListenError;
 use lichenfield_runtime::startup::{DaemonConfig, SettingsWatcher};
 use lichenfield_runtime::{Executor, Shared, TimerHandle, log_ring, shared};
@@ -72,12 +72,12 @@
 
 /// Runs the pooler until it has drained after SIGTERM.
 pub async fn serve(executor: Executor, config: DaemonConfig<ListenAddresses>) -> Result<(), ListenError> {
-    let DaemonConfig { settings, required: addresses, settings_watcher } = config;
+    let DaemonConfig { settings, required: addresses, settings_watcher, signals } = config;
     let driver = Rc::new(PoolerDriver::new(executor, &settings));
     driver.listen(&settings, &addresses)?;
     driver.start_clock();
     let (termination_sender, termination) = smol::channel::bounded::<()>(1);
-    driver.start_signal_handling(settings_watcher, termination_sender);
+    driver.start_signal_handling(signals, settings_watcher, termination_sender);
     // The sender lives in the signal task. Should that end, the process drains as well.
     let _ = termination.recv().await;
     driver.drain().await;
@@ -147,6 +147,7 @@
     /// Starts the signal task, which runs as long as the process.
     fn start_signal_handling(
         self: &Rc<Self>,
+        signals: ProcessSignals,
         mut settings_watcher: SettingsWatcher,
         termination_sender: smol::channel::Sender<()>,
     ) {
@@ -161,7 +162,7 @@
                 }
             }
         };
-        self.executor.spawn(signals::watch(handler)).detach();
+        self.executor.spawn(signals::watch(signals, handler)).detach();
     }
 
     /// Of changed settings, only the timing bounds take effect while the process runs.
--- a/pooler/tests/shutdown.rs
+++ b/pooler/tests/shutdown.rs
@@ -1,6 +1,7 @@
-//! The end of the real process, on loopback addresses. The poolers here know no controller and have no configuration, so
+//! Signals to the real process, above all those at which it ends, on loopback addresses. The poolers here know no controller and have no configuration, so
 //! that they answer each `CONNECT` with an error.
 
+use std::fs::OpenOptions;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -27,24 +28,19 @@
 impl PoolerProcess {
     /// Starts the `number`th pooler of this test and waits until it accepts connections.
     fn start(number: u8, grace: Duration) -> PoolerProcess {
-        let process = std::process::id().to_be_bytes();
-        let ip = Ipv4Addr::new(127, 100 + process[2] % 100, process[3], 10 + number);
-        let folder = std::env::temp_dir().join(format!("pooler-shutdown-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        let (ip, folder) = (test_ip(number), create_folder(number));
         write_settings(&folder, number, ip, grace);
-        let child = Command::new(env!("CARGO_BIN_EXE_lichenfield-pooler"))
-            .arg("--settings")
-            .arg(folder.join(SETTINGS_FILE))
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("the pooler starts");
-        let pooler = PoolerProcess { child, number, ip, folder };
+        let pooler = PoolerProcess { child: spawn(&folder), number, ip, folder };
+        pooler.wait_until_accepting();
+        pooler
+    }
+
+    fn wait_until_accepting(&self) {
         let started_at = Instant::now();
-        while TcpStream::connect(pooler.address()).is_err() {
-            assert!(started_at.elapsed() < PATIENCE, "pooler {number} does not accept connections");
+        while TcpStream::connect(self.address()).is_err() {
+            assert!(started_at.elapsed() < PATIENCE, "pooler {} does not accept connections", self.number);
             thread::sleep(POLL_INTERVAL);
         }
-        pooler
     }
 
     fn address(&self) -> SocketAddr {
@@ -83,14 +79,38 @@
     }
 }
 
+/// An address of this test's own.
+fn test_ip(number: u8) -> Ipv4Addr {
+    let process = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 100 + process[2] % 100, process[3], 10 + number)
+}
+
+fn create_folder(number: u8) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("pooler-shutdown-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a temporary folder");
+    folder
+}
+
+fn spawn(folder: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_lichenfield-pooler"))
+        .arg("--settings")
+        .arg(folder.join(SETTINGS_FILE))
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("the pooler starts")
+}
+
 fn write_settings(folder: &Path, number: u8, ip: Ipv4Addr, grace: Duration) {
-    let settings = format!(
+    std::fs::write(folder.join(SETTINGS_FILE), settings(number, ip, grace)).expect("the settings can be written");
+}
+
+fn settings(number: u8, ip: Ipv4Addr, grace: Duration) -> String {
+    format!(
         "node-name = \"pooler-{number}\"\nip = \"{ip}\"\nzone = \"local\"\ninternal-ports = [7560, 7575]\n\
          seed-nodes = [\"{ip}:8462\"]\n[listen]\nsession = \"{ip}:{SESSION_PORT}\"\n\
          readiness = \"{ip}:{READINESS_PORT}\"\n[timing-bounds]\ngrace-s = {}\n",
         grace.as_secs()
-    );
-    std::fs::write(folder.join(SETTINGS_FILE), settings).expect("the settings can be written");
+    )
 }
 
 /// What a client saw.
@@ -160,3 +180,26 @@
     assert!(pooler.wait(), "the pooler waits for its client beyond its grace");
     drop(silent_client);
 }
+
+/// Guards against a starting process that SIGHUP ends: its settings are a pipe, so that it waits while it reads them.
+#[test]
+fn a_process_that_is_starting_survives_a_reload() {
+    const SIGNAL_TIME: Duration = Duration::from_millis(500);
+    let (number, ip) = (101, test_ip(101));
+    let folder = create_folder(number);
+    let (pipe, file) = (folder.join(SETTINGS_FILE), folder.join("plain.toml"));
+    assert!(Command::new("mkfifo").arg(&pipe).status().is_ok_and(|status| status.success()));
+    let child = spawn(&folder);
+    let mut pooler = PoolerProcess { child, number, ip, folder };
+    // Opens once the process has opened it for reading.
+    let mut writer = OpenOptions::new().write(true).open(&pipe).expect("the pipe");
+    pooler.signal("-HUP");
+    thread::sleep(SIGNAL_TIME);
+    assert!(matches!(pooler.child.try_wait(), Ok(None)), "the process has ended");
+    let text = settings(number, ip, GRACE);
+    std::fs::write(&file, &text).expect("the settings can be written");
+    writer.write_all(text.as_bytes()).expect("the process reads");
+    std::fs::rename(&file, &pipe).expect("later reads find a file");
+    drop(writer);
+    pooler.wait_until_accepting();
+}
--- a/runtime/src/signals.rs
+++ b/runtime/src/signals.rs
@@ -2,6 +2,7 @@
 
 use async_signal::{Signal, Signals};
 use smol::stream::StreamExt;
+use std::io;
 use std::time::Duration;
 
 /// How often the settings file is checked for changes that no SIGHUP announced.
@@ -18,10 +19,20 @@
     DumpLog,
 }
 
+/// The signals that a daemon handles. From their registration on they wait for [`watch`] and have no default effect.
+pub struct ProcessSignals(io::Result<Signals>);
+
+impl ProcessSignals {
+    /// Registers them. To be called first of all: before that, SIGHUP and SIGUSR1 end the process.
+    pub fn register() -> Self {
+        ProcessSignals(Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1]))
+    }
+}
+
 /// Passes signals to `handler`; as a task it runs as long as the process. It ends at once, with a log line, if the
-/// signals cannot be registered: they then have their default effect, and SIGTERM ends the process without a drain.
-pub async fn watch(mut handler: impl FnMut(ProcessSignal)) {
-    let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1]) {
+/// signals could not be registered: they then have their default effect, and SIGTERM ends the process without a drain.
+pub async fn watch(signals: ProcessSignals, mut handler: impl FnMut(ProcessSignal)) {
+    let mut signals = match signals.0 {
         Ok(signals) => signals,
         Err(error) => {
             tracing::error!(%error, "cannot register signal handlers");
--- a/runtime/src/startup.rs
+++ b/runtime/src/startup.rs
@@ -2,7 +2,7 @@
 //! outcome into an exit code.
 
 pub use crate::settings_file::{SettingsWatcher, settings_path};
-pub use crate::signals::{ProcessSignal, watch};
+pub use crate::signals::{ProcessSignal, ProcessSignals, watch};
 
 use crate::settings_file::{SettingsError, SettingsFile};
 use crate::{Executor, log_ring};
@@ -32,6 +32,8 @@
     pub required: R,
     /// Follows the settings file.
     pub settings_watcher: SettingsWatcher,
+    /// The process's signals, since its start.
+    pub signals: ProcessSignals,
 }
 
 /// A daemon as the start-up sequence sees it.
@@ -58,7 +60,8 @@
 ///
 /// Exit codes: 0 after a drain or a successful check, [`EXIT_SETTINGS`] or [`EXIT_FAILED`] otherwise.
 pub fn run_daemon<D: Daemon>(settings_argument: Option<String>, mode: RunMode) -> ExitCode {
-    let (path, config) = match load_config::<D>(settings_path(settings_argument)) {
+    let signals = ProcessSignals::register();
+    let (path, config) = match load_config::<D>(settings_path(settings_argument), signals) {
         Ok(loaded) => loaded,
         Err(error) => {
             eprintln!("{}: {error}", D::PROGRAM);
@@ -81,11 +84,14 @@
 }
 
 /// Reads the settings file and checks that it has what the daemon needs.
-fn load_config<D: Daemon>(path: String) -> Result<(String, DaemonConfig<D::Required>), SettingsError> {
+fn load_config<D: Daemon>(
+    path: String,
+    signals: ProcessSignals,
+) -> Result<(String, DaemonConfig<D::Required>), SettingsError> {
     let SettingsFile { path, text, settings } = SettingsFile::read(path)?;
     let Some(required) = D::required(&settings) else {
         return Err(SettingsError::Missing { path, names: D::REQUIRED_SETTINGS });
     };
     let settings_watcher = SettingsWatcher::new(path.clone(), text);
-    Ok((path, DaemonConfig { settings, required, settings_watcher }))
+    Ok((path, DaemonConfig { settings, required, settings_watcher, signals }))
 }
