Soak: time in which the machine stands still does not count as a daemon's grace

Where the soak itself was not run for over 0.1 s, the daemons that end get that time too; 6 s of the clock remain 6 s otherwise.

--- a/simulator/src/soak/deployment.rs
+++ b/simulator/src/soak/deployment.rs
@@ -13,6 +13,8 @@
 
 /// From SIGTERM to SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
+/// This program is looked after no later than its daemons: when it was not for so long, nor were they.
+const STALL_MIN: Duration = Duration::from_millis(100);
 /// A process that is killed has this time to write its log out.
 const LOG_TIME: Duration = Duration::from_millis(50);
 /// From the end of a process to its next start.
@@ -85,6 +87,7 @@
     programs: PathBuf,
     folder: PathBuf,
     daemons: Vec<Daemon>,
+    supervised_at: Instant,
 }
 
 impl Deployment {
@@ -93,7 +96,13 @@
         let folder = std::env::temp_dir().join(format!("lichenfield-soak-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder)?;
-        let mut deployment = Deployment { addresses, programs: options.programs.clone(), folder, daemons: Vec::new() };
+        let mut deployment = Deployment {
+            addresses,
+            programs: options.programs.clone(),
+            folder,
+            daemons: Vec::new(),
+            supervised_at: Instant::now(),
+        };
         let controllers = (0..options.size.controllers()).map(|number| (Role::Controller, number));
         let poolers = (0..options.size.poolers()).map(|number| (Role::Pooler, number));
         for (role, number) in controllers.chain(poolers) {
@@ -190,6 +199,10 @@
     /// Starts what has ended, and kills what has not ended in its grace. Returns what a daemon did wrong.
     pub(super) fn supervise(&mut self) -> Vec<Incident> {
         let now = Instant::now();
+        let stall = now.duration_since(std::mem::replace(&mut self.supervised_at, now));
+        if stall > STALL_MIN {
+            self.extend_graces(stall);
+        }
         let mut incidents = Vec::new();
         for index in 0..self.daemons.len() {
             let daemon = &mut self.daemons[index];
@@ -209,6 +222,15 @@
         incidents
     }
 
+    /// The machine stood still: daemons that end get that time on top of their grace.
+    fn extend_graces(&mut self, stall: Duration) {
+        for daemon in &mut self.daemons {
+            if let Process::Ending(_, since) = &mut daemon.process {
+                *since += stall;
+            }
+        }
+    }
+
     /// Lets every daemon write its log out.
     pub(super) fn dump_logs(&self) {
         for daemon in &self.daemons {
--- a/simulator/src/soak/mod.rs
+++ b/simulator/src/soak/mod.rs
@@ -29,7 +29,7 @@
 use deployment::{Deployment, Role};
 use entry::Entry;
 use instances::InstanceGroup;
-use lichenfield_runtime::signals::{self, ProcessSignal};
+use lichenfield_runtime::signals::{self, ProcessSignal, ProcessSignals};
 use lichenfield_runtime::{Executor, Shared, shared};
 use observations::Observations;
 use operator::Operator;
@@ -119,7 +119,7 @@
             std::process::exit(EXIT_INTERRUPTED);
         }
     };
-    signals::watch(handler).await;
+    signals::watch(ProcessSignals::register(), handler).await;
 }
 
 impl Soak {
