--- a/review/lab-2/case_7.rs
+++ b/review/lab-2/case_7.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// The primary crashes, and the processes of the core are killed, the leader's 0.3 s after the others; each returns
+/// The primary crashes, and the processes of the core are killed, the leader's 0.5 s after the others; each returns
 /// a second after its end, the primary after 0.6 s.
 fn disrupt(deployment: &Deployment) -> bool {
     let Deployment { daemons, group, trouble } = deployment;
@@ -107,7 +107,7 @@
     for number in &others {
         daemons.kill(Role::Controller, *number);
     }
-    wait_until(300);
+    wait_until(500);
     daemons.kill(Role::Controller, leader);
     wait_until(600);
     group.restart(0);
@@ -116,7 +116,7 @@
     for number in &others {
         started &= daemons.spawn(Role::Controller, *number, false).is_ok();
     }
-    wait_until(1300);
+    wait_until(1500);
     started && daemons.spawn(Role::Controller, leader, false).is_ok()
 }
 
