--- a/review/lab-2/database.rs
+++ b/review/lab-2/database.rs
@@ -65,11 +65,29 @@
     pub log: Vec<Entry>,
 }
 
+/// A commit that writes, at the instance that made it.
+#[derive(Debug, Clone)]
+pub struct Commit {
+    pub at: Instant,
+    pub instance: usize,
+    pub term: u64,
+    pub data: String,
+}
+
+/// A call by which the platform was asked to promote an instance, and took it.
+#[derive(Debug, Clone, Copy)]
+pub struct AcceptedCall {
+    pub at: Instant,
+    pub instance: usize,
+}
+
 #[derive(Default)]
 pub struct State {
     pub instances: Vec<Instance>,
     pub runs: Vec<Run>,
     pub promotions: Vec<Promotion>,
+    pub commits: Vec<Commit>,
+    pub accepted_calls: Vec<AcceptedCall>,
     stamps: u64,
 }
 
@@ -85,7 +103,7 @@
 
 const WORK: Duration = Duration::from_millis(4);
 const HANDSHAKE: Duration = Duration::from_millis(12);
-const PROMOTE: Duration = Duration::from_millis(600);
+const PROMOTE: Duration = Duration::from_millis(1000);
 const BEAT: Duration = Duration::from_millis(1200);
 const MAX_CONNECTIONS: usize = 60;
 
@@ -249,7 +267,7 @@
             return 200;
         }
         let id = http::json_text(&request.body, "id");
-        let state = self.lock();
+        let mut state = self.lock();
         let Some(number) = state.instances.iter().position(|instance| instance.id == id) else { return 409 };
         let instance = &state.instances[number];
         if instance.down || instance.dark {
@@ -258,6 +276,7 @@
         if instance.primary {
             return 200;
         }
+        state.accepted_calls.push(AcceptedCall { at: Instant::now(), instance: number });
         drop(state);
         let group = Arc::clone(self);
         std::thread::spawn(move || {
@@ -584,9 +603,17 @@
         let mut state = self.group.lock();
         let instance = &mut state.instances[self.number];
         let position = (instance.term, instance.last().1 + 1);
+        let commit = |data: &String| Commit {
+            at: Instant::now(),
+            instance: self.number,
+            term: instance.term,
+            data: data.clone(),
+        };
+        let commits: Vec<Commit> = writes.iter().map(|(_, data)| commit(data)).collect();
         for (thing, data) in writes {
             instance.log.push(Entry { position, thing, data });
         }
+        state.commits.extend(commits);
         drop(state);
         loop {
             let state = self.group.lock();
