--- a/review/lab-2/daemons.rs
+++ b/review/lab-2/daemons.rs
@@ -169,18 +169,7 @@
         self.processes.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Sends SIGKILL.
-    pub fn kill(&self, role: Role, number: usize) {
-        let mut processes = self.lock();
-        if let Some(at) = processes.iter().position(|process| process.role == role && process.number == number) {
-            let mut process = processes.remove(at);
-            let _ = process.child.kill();
-            let _ = process.child.wait();
-            note!("platform: {role:?} {number} is killed");
-        }
-    }
-
-    /// Sends another signal, named as `kill` takes it.
+    /// Sends a signal, named as `kill` takes it.
     pub fn signal(&self, role: Role, number: usize, name: &str) {
         for process in self.lock().iter().filter(|process| process.role == role && process.number == number) {
             let id = process.child.id().to_string();
--- a/review/lab-2/database.rs
+++ b/review/lab-2/database.rs
@@ -27,8 +27,6 @@
     pub down: bool,
     /// It says nothing: nothing is read, run or answered.
     pub dark: bool,
-    /// It receives nothing from the primary.
-    pub deaf: bool,
     connections: Vec<TcpStream>,
     /// Since when this primary can reach one of a later term.
     overtaken_since: Option<Instant>,
@@ -173,11 +171,6 @@
         self.lock().instances[number].dark = dark;
     }
 
-    pub fn set_deaf(&self, number: usize, deaf: bool) {
-        note!("trouble: instance {number} receives nothing: {deaf}");
-        self.lock().instances[number].deaf = deaf;
-    }
-
     // Replication.
 
     fn replicate(&self) {
@@ -193,7 +186,7 @@
             let Some(leader) = leader else { continue };
             let (term, log) = (state.instances[leader].term, state.instances[leader].log.clone());
             for (number, instance) in state.instances.iter_mut().enumerate() {
-                if number == leader || instance.down || instance.dark || instance.deaf {
+                if number == leader || instance.down || instance.dark {
                     continue;
                 }
                 if instance.primary {
