Failover: open an epoch only for the candidate that was named last

Cause: the leader installed whichever instance was seen to lead a later term. A call that was taken has its effect later, seen or not; by installing another instance the leader forgot its own call. Two siblings: the next leader waited 1.5 s for its predecessor's candidate and then named another one, and an unanswered call was not waited for at all, so that it could be carried out after the call that followed it.

Change: another candidate is selected only when the calls for the one before are settled, and once a candidate is in the log the epoch opens for it alone. A candidate that led before it was named must lead a later term, or still lead when its call is settled. A new leader takes the candidate of the log if all other replicas follow, and names it again if not. 429 is no longer taken for an unanswered call. New log lines: outcome of each call, change of candidate.

Why it works: a call for another instance is made only when no earlier one can have an effect any more, so the effects come in the order of the calls, and the instance that is installed is the one that was named last.

--- a/engine/src/process/leadership/mod.rs
+++ b/engine/src/process/leadership/mod.rs
@@ -273,8 +273,8 @@
     /// A call to the platform that was requested under this token is over.
     pub fn platform_call_finished(&mut self, now: Instant, token: u64, outcome: PlatformCallOutcome) {
         match self.outbox.take_pending_call(token) {
-            Some(PendingCall::Failover { service, candidate }) => {
-                self.failover.platform_call_finished(now, &service, candidate, outcome);
+            Some(PendingCall::Failover { service }) => {
+                self.failover.platform_call_finished(now, &service, outcome, &mut self.outbox);
             }
             Some(PendingCall::Usage { window }) => {
                 self.usage.platform_call_finished(now, window, outcome, &mut self.outbox);
--- a/engine/src/process/leadership/outbox.rs
+++ b/engine/src/process/leadership/outbox.rs
@@ -57,8 +57,6 @@
     Failover {
         /// The service whose primary is replaced.
         service: String,
-        /// The candidate.
-        candidate: String,
     },
     /// The platform is sent a usage report.
     Usage {
--- a/engine/src/process/leadership/platform_calls.rs
+++ b/engine/src/process/leadership/platform_calls.rs
@@ -32,7 +32,10 @@
         /// The HTTP status.
         status: u16,
     },
-    /// It is overloaded (429), failed, or did not answer: the call may have been carried out.
+    /// It takes no more calls for now (429): this one was not carried out.
+    #[error("refused for now: HTTP status 429")]
+    RateLimited,
+    /// It failed, or did not answer: the call may have been carried out.
     #[error("no usable answer")]
     Unavailable,
 }
@@ -43,7 +46,8 @@
         match status {
             Some(200..=299) => PlatformCallOutcome::Accepted,
             Some(409) => PlatformCallOutcome::Conflict,
-            Some(status @ (400..=428 | 430..=499)) => PlatformCallOutcome::Rejected { status },
+            Some(429) => PlatformCallOutcome::RateLimited,
+            Some(status @ 400..=499) => PlatformCallOutcome::Rejected { status },
             _ => PlatformCallOutcome::Unavailable,
         }
     }
--- a/engine/src/process/leadership/primary_failover.rs
+++ b/engine/src/process/leadership/primary_failover.rs
@@ -11,13 +11,17 @@
 //! | closed, leases over | ask the instances for their state ([`successor`]) and choose the one furthest ahead   |
 //! | candidate chosen    | check the A-B-A rule ([`PlatformCalls::may_act`]), commit `SelectCandidate`           |
 //! | candidate committed | call the platform to promote it, under this leader's term as a fence                  |
-//! | new leader seen     | commit `InstallPrimary` for the next epoch; ask the old primary to step down          |
+//! | candidate leads     | commit `InstallPrimary` for the next epoch; ask the old primary to step down          |
 //!
 //! Why this is safe: no lease is granted for a closed epoch and all earlier ones are over before the instances are
 //! asked, so that nothing is acknowledged under the old epoch that their answers do not show; the platform is called by
-//! one controller at a time on a subject; and a new epoch opens only for an instance that was seen to lead.
+//! one controller at a time on a subject; and a new epoch opens only for an instance that was seen to lead and that no
+//! call can depose any more. For the last, another candidate is selected only once the calls that name the one before it
+//! are settled ([`promotion_request`]), and once a candidate is committed the epoch opens for no other instance
+//! ([`Survey::new_primary`]).
 //!
 //! [`failure_detection`]: super::failure_detection
+//! [`promotion_request`]: super::promotion_request
 //! [`successor`]: super::successor
 
 use super::failure_detection::{FailureDetector, PrimaryReports, ReplaceReason};
@@ -26,9 +30,11 @@
 use super::old_primaries::OldPrimaries;
 use super::outbox::{Outbox, PendingCall};
 use super::platform_calls::{PlatformCallOutcome, PlatformCalls};
-use super::promotion_request::PromotionRequest;
+use super::promotion_request::{PromotionCall, PromotionRequest};
 use super::successor::{Candidate, NewPrimary, Survey};
 use super::{Lead, LeaderContext};
+use crate::process::consensus::LEADER_CONFIRMATION;
+use crate::process::dissemination::anti_entropy::Instance;
 use crate::process::peer_message::PeerMessage;
 use crate::process::settings::TimingBounds;
 use crate::version::control_state::{Command, Epoch};
@@ -68,7 +74,9 @@
 impl PrimaryFailover {
     /// Takes a service's next step. Called by a confirmed leader only.
     pub fn step(&mut self, service: &str, reports: PrimaryReports, context: &mut FailoverContext) {
-        let failover = self.0.entry(service.to_owned()).or_default();
+        let epoch = context.leader.control_state.epochs.get(service);
+        let begin = || ServiceFailover::at_start_of_term(epoch, context.lead);
+        let failover = self.0.entry(service.to_owned()).or_insert_with(begin);
         failover.step(service, reports, context);
     }
 
@@ -87,6 +95,9 @@
         };
         if let Some(failover) = self.0.get_mut(service) {
             failover.proposed_at = None;
+            if matches!(command, Command::InstallPrimary { .. }) {
+                failover.promotion.epoch_opened();
+            }
         }
     }
 
@@ -102,11 +113,13 @@
         &mut self,
         now: Instant,
         service: &str,
-        candidate: String,
         outcome: PlatformCallOutcome,
+        outbox: &mut Outbox,
     ) {
-        if let Some(failover) = self.0.get_mut(service) {
-            failover.promotion.finished(now, candidate, outcome);
+        if let Some(failover) = self.0.get_mut(service)
+            && let Some(candidate) = failover.promotion.finished(now, outcome)
+        {
+            outbox.log(format!("{service}: call to promote {candidate}: {outcome}"));
         }
     }
 
@@ -141,6 +154,16 @@
 }
 
 impl ServiceFailover {
+    /// A new leader knows what the log says. The leader before it may have named the candidate for as long as it took
+    /// itself for confirmed.
+    fn at_start_of_term(epoch: Option<&Epoch>, lead: Lead) -> Self {
+        let Some((epoch, candidate)) = epoch.and_then(|epoch| Some((epoch, epoch.candidate.as_deref()?))) else {
+            return ServiceFailover::default();
+        };
+        let promotion = PromotionRequest::inherited(epoch.epoch, candidate, lead.since + LEADER_CONFIRMATION);
+        ServiceFailover { promotion, ..ServiceFailover::default() }
+    }
+
     fn step(&mut self, service: &str, reports: PrimaryReports, context: &mut FailoverContext) {
         let now = context.leader.now;
         if self.proposed_at.is_some_and(|at| now.duration_since(at) > PROPOSAL_TIMEOUT) {
@@ -239,31 +262,41 @@
         if self.proposed_at.is_some() {
             return;
         }
+        self.promotion.forget_old_refusals(leader.now);
+        let asked_since =
+            self.promotion.settled_at(leader.now).map_or(leases_over_since, |at| at.max(leases_over_since));
         let survey = Survey {
             context: leader,
             epoch,
-            leases_over_since,
+            asked_since,
             instances: leader.registry.of_service(service).collect(),
-            results: self.checks.results_requested_after(leases_over_since),
+            results: self.checks.results_requested_after(asked_since),
+            promotion: &self.promotion,
         };
-        match self.next_step(service, &survey, context) {
+        match Self::next_step(service, &survey, context) {
             Step::Wait => {}
-            Step::Install(primary) => self.install(service, &survey, primary, context),
+            Step::Install(primary) => {
+                let old = survey.old_primary().filter(|old| old.id != primary.id).cloned();
+                self.install(service, epoch, primary, old, context);
+            }
             Step::Select(candidate) => self.select(service, epoch, candidate, context),
-            Step::Promote(candidate) => self.promote(service, &candidate, context),
+            Step::Promote(candidate) => {
+                let lead_before = survey.lead_before_call(&candidate.id);
+                let call = PromotionCall { epoch: epoch.epoch, candidate: candidate.id.clone(), lead_before };
+                self.promote(service, call, &candidate, context);
+            }
         }
     }
 
-    fn next_step(&mut self, service: &str, survey: &Survey, context: &FailoverContext) -> Step {
+    fn next_step(service: &str, survey: &Survey, context: &FailoverContext) -> Step {
         let now = context.leader.now;
         if let Some(primary) = survey.new_primary() {
             return Step::Install(primary);
         }
-        if self.promotion.must_wait(now) {
+        if survey.promotion.must_wait(now, survey.epoch.epoch) {
             return Step::Wait;
         }
-        self.promotion.forget_old_refusals(now);
-        let Some(candidate) = survey.choose_candidate(|id| self.promotion.is_refused(id)) else { return Step::Wait };
+        let Some(candidate) = survey.choose_candidate() else { return Step::Wait };
         let Epoch { candidate: selected, caller, .. } = survey.epoch;
         if !context.platform.may_act(now, context.bounds, service, caller.as_deref()) {
             return Step::Wait;
@@ -273,21 +306,30 @@
         if is_committed && is_caller { Step::Promote(candidate) } else { Step::Select(candidate) }
     }
 
-    fn install(&mut self, service: &str, survey: &Survey, new: NewPrimary, context: &mut FailoverContext) {
-        self.promotion.forget_accepted();
+    fn install(
+        &mut self,
+        service: &str,
+        epoch: &Epoch,
+        new: NewPrimary,
+        old: Option<Instance>,
+        context: &mut FailoverContext,
+    ) {
         self.checks.clear();
         context.outbox.log(format!("{service}: {} leads term {}", new.id, new.term));
         if new.took_over
-            && let Some(old) = survey.old_primary().filter(|old| old.id != new.id)
+            && let Some(old) = &old
         {
             context.old_primaries.add(context.leader.now, old, new.term);
         }
-        let epoch = survey.epoch.epoch + 1;
+        let epoch = epoch.epoch + 1;
         let command = Command::InstallPrimary { service: service.to_owned(), epoch, primary: new.id, term: new.term };
         self.propose(command, context);
     }
 
     fn select(&mut self, service: &str, epoch: &Epoch, candidate: Candidate, context: &mut FailoverContext) {
+        if let Some(before) = epoch.candidate.as_ref().filter(|before| **before != candidate.id) {
+            context.outbox.log(format!("{service}: selecting {} in place of {before}", candidate.id));
+        }
         let command = Command::SelectCandidate {
             service: service.to_owned(),
             epoch: epoch.epoch,
@@ -297,16 +339,16 @@
         self.propose(command, context);
     }
 
-    fn promote(&mut self, service: &str, candidate: &Candidate, context: &mut FailoverContext) {
+    fn promote(&mut self, service: &str, call: PromotionCall, candidate: &Candidate, context: &mut FailoverContext) {
         let now = context.leader.now;
         if !context.platform.is_configured() || !context.platform.take_call_slot(now) {
             return;
         }
-        self.promotion.started();
+        self.promotion.started(call);
         context.platform.record_act(now, service);
         let Candidate { id, received } = candidate;
         context.outbox.log(format!("{service}: asking the platform to promote {id}, which has received {received}"));
-        let call = PendingCall::Failover { service: service.to_owned(), candidate: id.clone() };
+        let call = PendingCall::Failover { service: service.to_owned() };
         let body = serde_json::json!({"service": service, "id": id});
         context.outbox.platform_call(call, "/failover", context.lead.term, &body);
     }
--- a/engine/src/process/leadership/usage_reports.rs
+++ b/engine/src/process/leadership/usage_reports.rs
@@ -182,7 +182,9 @@
                 outbox.log(format!("usage report of window {window}: {outcome}"));
                 self.sent.insert(window);
             }
-            PlatformCallOutcome::Unavailable => self.next_attempt_at = Some(now + RETRY_AFTER),
+            PlatformCallOutcome::RateLimited | PlatformCallOutcome::Unavailable => {
+                self.next_attempt_at = Some(now + RETRY_AFTER);
+            }
         }
     }
 
--- /dev/null
+++ b/engine/tests/failover/main.rs
@@ -0,0 +1,4 @@
+//! Failover of a primary: one leader at a time against scripted instances and a scripted platform.
+
+mod promotion_order;
+mod world;
--- a/simulator/src/world/actions/mod.rs
+++ b/simulator/src/world/actions/mod.rs
@@ -31,6 +31,8 @@
 //! rate-limit NUMBER | none         operations a second allowed to each tenant
 //! crash-instance INSTANCE          the instance ends, and its connections close
 //! isolate-instance INSTANCE        the instance neither receives nor sends; its connections stay open
+//! isolate-candidates               each instance that the platform accepts to promote is isolated from then until it
+//!                                  accepts another
 //! recover-instances                instances that are down or isolated work again
 //! drain-instance INSTANCE          a new replica starts; the instance drains and ends 8 s later
 //! deregister-replica               a new replica starts; another deregisters without draining and ends 9 s later
@@ -40,7 +42,7 @@
 //! deliver-answers                  answers are lost no more
 //! refuse-setup                     instances refuse every other statement that prepares a connection
 //! accept-setup                     they refuse none
-//! platform up | down               whether the platform's API can be reached
+//! platform up | down | mute        whether the platform's API can be reached; mute: it acts, and no answer arrives
 //! measure-traffic                  begins to count what daemons send to each other
 //! ```
 
@@ -87,6 +89,17 @@
     ControllersOnly,
 }
 
+/// How the platform takes calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlatformState {
+    /// It acts and answers.
+    Up,
+    /// It cannot be reached.
+    Down,
+    /// It acts, and its answers are lost.
+    Mute,
+}
+
 /// An action of a scenario. The module's text describes each.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
@@ -161,6 +174,8 @@
     CrashInstance(InstanceTarget),
     /// `isolate-instance`
     IsolateInstance(InstanceTarget),
+    /// `isolate-candidates`
+    IsolateCandidates,
     /// `recover-instances`
     RecoverInstances,
     /// `drain-instance`
@@ -180,10 +195,7 @@
     /// `accept-setup`
     AcceptSetup,
     /// `platform`
-    SetPlatform {
-        /// Whether its API can be reached.
-        reachable: bool,
-    },
+    SetPlatform(PlatformState),
     /// `measure-traffic`
     MeasureTraffic,
 }
--- a/simulator/src/world/actions/parser.rs
+++ b/simulator/src/world/actions/parser.rs
@@ -1,6 +1,6 @@
 //! Parses actions.
 
-use super::{Action, InstanceTarget, PartitionScope, Target};
+use super::{Action, InstanceTarget, PartitionScope, PlatformState, Target};
 use crate::scenario::{ScenarioError, Words};
 
 impl Action {
@@ -35,6 +35,7 @@
             "rate-limit" => Action::SetRateLimit { per_second: parse_limit(words)? },
             "crash-instance" => Action::CrashInstance(InstanceTarget::parse(words)?),
             "isolate-instance" => Action::IsolateInstance(InstanceTarget::parse(words)?),
+            "isolate-candidates" => Action::IsolateCandidates,
             "recover-instances" => Action::RecoverInstances,
             "drain-instance" => Action::DrainInstance(InstanceTarget::parse(words)?),
             "deregister-replica" => Action::DeregisterReplica,
@@ -44,7 +45,7 @@
             "deliver-answers" => Action::DeliverAnswers,
             "refuse-setup" => Action::RefuseSetup,
             "accept-setup" => Action::AcceptSetup,
-            "platform" => Action::SetPlatform { reachable: parse_reachable(words)? },
+            "platform" => Action::SetPlatform(PlatformState::parse(words)?),
             "measure-traffic" => Action::MeasureTraffic,
             other => return Err(name.error(format!("unknown action \"{other}\""))),
         })
@@ -95,6 +96,18 @@
     }
 }
 
+impl PlatformState {
+    fn parse(words: &mut Words) -> Result<Self, ScenarioError> {
+        let word = words.require("\"up\", \"down\" or \"mute\"")?;
+        match word.text {
+            "up" => Ok(PlatformState::Up),
+            "down" => Ok(PlatformState::Down),
+            "mute" => Ok(PlatformState::Mute),
+            _ => Err(word.error("\"up\", \"down\" or \"mute\" expected")),
+        }
+    }
+}
+
 fn parse_limit(words: &mut Words) -> Result<Option<u32>, ScenarioError> {
     let word = words.require("a number or \"none\"")?;
     match word.text {
@@ -102,12 +115,3 @@
         _ => word.parse("a number or \"none\"").map(Some),
     }
 }
-
-fn parse_reachable(words: &mut Words) -> Result<bool, ScenarioError> {
-    let word = words.require("\"up\" or \"down\"")?;
-    match word.text {
-        "up" => Ok(true),
-        "down" => Ok(false),
-        _ => Err(word.error("\"up\" or \"down\" expected")),
-    }
-}
--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -26,6 +26,7 @@
 use crate::database::{DatabaseInstance, GroupLog};
 use crate::judge::Judge;
 use crate::trace::Trace;
+use actions::PlatformState;
 use client::Client;
 use connections::ConnectionKey;
 use database_group::PRIMARY_INDEX;
@@ -33,6 +34,7 @@
 use hosts::Host;
 use network::Network;
 use operator::Operator;
+use platform::CandidateIsolation;
 use sessions::{Forwarding, Session};
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
@@ -124,7 +126,8 @@
     /// Instances of the idle services.
     idle_instances: Vec<DatabaseInstance>,
     connections: BTreeMap<ConnectionKey, InstanceIndex>,
-    platform_reachable: bool,
+    platform_state: PlatformState,
+    candidate_isolation: CandidateIsolation,
     operator: Operator,
     clients: Vec<Client>,
     clients_stopped: bool,
@@ -170,7 +173,8 @@
             instances: Vec::new(),
             log: GroupLog::new(),
             idle_instances: Vec::new(),
-            platform_reachable: true,
+            platform_state: PlatformState::Up,
+            candidate_isolation: CandidateIsolation::Off,
             operator: Operator::new(),
             clients: Vec::new(),
             clients_stopped: false,
--- a/simulator/src/world/perform.rs
+++ b/simulator/src/world/perform.rs
@@ -2,6 +2,7 @@
 
 use super::actions::{Action, Target};
 use super::hosts::StopCause;
+use super::platform::CandidateIsolation;
 use super::{HostIndex, World};
 
 impl World {
@@ -36,6 +37,7 @@
             Action::SetRateLimit { per_second } => self.set_rate_limit(per_second),
             Action::CrashInstance(target) => self.crash_target_instance(target),
             Action::IsolateInstance(target) => self.isolate_instance(target),
+            Action::IsolateCandidates => self.candidate_isolation = CandidateIsolation::Next,
             Action::RecoverInstances => self.recover_instances(),
             Action::DrainInstance(target) => self.drain_instance(target),
             Action::DeregisterReplica => self.deregister_replica(),
@@ -45,7 +47,7 @@
             Action::DeliverAnswers => self.set_answers_dropped(false),
             Action::RefuseSetup => self.set_setup_refused(true),
             Action::AcceptSetup => self.set_setup_refused(false),
-            Action::SetPlatform { reachable } => self.platform_reachable = reachable,
+            Action::SetPlatform(state) => self.platform_state = state,
             Action::MeasureTraffic => self.measure_traffic(),
         }
     }
--- a/simulator/src/world/platform.rs
+++ b/simulator/src/world/platform.rs
@@ -1,8 +1,9 @@
 //! The platform that promotes instances and collects usage.
 
+use super::actions::PlatformState;
 use super::events::Event;
 use super::hosts::ProcessId;
-use super::{HostIndex, World};
+use super::{HostIndex, InstanceIndex, World};
 use crate::judge::DutyCall;
 use lichenfield_engine::process::leadership::PlatformCallOutcome;
 use std::time::Duration;
@@ -18,6 +19,17 @@
 const STATUS_OK: u16 = 200;
 const STATUS_CONFLICT: u16 = 409;
 
+/// Whether instances are isolated while they are promoted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CandidateIsolation {
+    /// They are not.
+    Off,
+    /// The next one will be.
+    Next,
+    /// This one is, until another one is accepted.
+    Isolated(InstanceIndex),
+}
+
 /// A controller's call.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PlatformRequest<'a> {
@@ -31,7 +43,14 @@
 impl World {
     /// A controller calls the platform, which acts at once and answers later.
     pub(super) fn call_platform(&mut self, process: ProcessId, token: u64, request: PlatformRequest) {
-        let status = self.platform_reachable.then(|| self.handle_platform_call(process.host, request));
+        let status = match self.platform_state {
+            PlatformState::Up => Some(self.handle_platform_call(process.host, request)),
+            PlatformState::Down => None,
+            PlatformState::Mute => {
+                self.handle_platform_call(process.host, request);
+                None
+            }
+        };
         let delay = if status.is_some() { CALL_TIME } else { CALL_TIMEOUT };
         self.schedule(delay, Event::PlatformCallFinished { process, token, status });
     }
@@ -68,6 +87,22 @@
         if !self.instances[index].is_primary {
             self.schedule(PROMOTION_TIME, Event::Promote(index));
         }
+        self.isolate_candidate(index);
         STATUS_OK
     }
+
+    /// Isolates an instance that is about to be promoted, or brings the one before it back.
+    fn isolate_candidate(&mut self, index: InstanceIndex) {
+        match self.candidate_isolation {
+            CandidateIsolation::Next => {
+                self.instances[index].isolated = true;
+                self.candidate_isolation = CandidateIsolation::Isolated(index);
+            }
+            CandidateIsolation::Isolated(before) if before != index => {
+                self.instances[before].isolated = false;
+                self.candidate_isolation = CandidateIsolation::Off;
+            }
+            CandidateIsolation::Isolated(_) | CandidateIsolation::Off => {}
+        }
+    }
 }
