Failover: one change of an epoch on its way through the log at a time

Callers could see writes acknowledged at an instance that was about to be deposed, on a slow log.

Cause: the failover took a proposal for lost after 1 s and proposed anew, while the controller sends each one until it is decided. The choice of a candidate and the installation of the one before it could both be on their way, with the call to the platform between them. The proposals of an earlier lead were also sent again if the same daemon led again before they were due.

Change: no second change of a service's epoch until the first is decided or the term is over; a daemon that loses its lead drops what it proposed as a leader.

--- a/engine/src/process/controller/component_effects.rs
+++ b/engine/src/process/controller/component_effects.rs
@@ -67,6 +67,7 @@
         let term = self.raft.term();
         if was_leader && !is_leader {
             self.leadership.step_down();
+            self.proposals.drop_leader_duties();
             self.pending_effects.push_back(Effect::Log(format!("no longer leading; term {term}")));
         }
         if !was_leader && is_leader {
--- a/engine/src/process/controller/proposals.rs
+++ b/engine/src/process/controller/proposals.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// The lead is lost: what this daemon proposed as the leader is void, also if it leads again soon.
+    pub(super) fn drop_leader_duties(&mut self) {
+        self.pending.retain(|_, proposal| !matches!(proposal.purpose, Purpose::LeaderDuty));
+    }
+
     /// Another version is in place: changes may have waited for it.
     pub(super) fn make_waiting_due(&mut self, now: Instant) {
         for proposal in self.pending.values_mut().filter(|proposal| proposal.waits_for_version) {
--- a/engine/src/process/leadership/primary_failover.rs
+++ b/engine/src/process/leadership/primary_failover.rs
@@ -44,8 +44,6 @@
 /// Pause between recalls of the same leases: messages between daemons are lost with their connection, and a repeat
 /// costs little.
 const RECALL_INTERVAL: Duration = Duration::from_millis(150);
-/// A proposal that was not applied for this long is made again.
-const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the failover works with, beside its own state.
 pub struct FailoverContext<'a> {
@@ -82,7 +80,7 @@
 
     /// Whether a change of the service's epoch was proposed and is not known to be applied.
     pub fn has_proposal(&self, service: &str) -> bool {
-        self.0.get(service).is_some_and(|failover| failover.proposed_at.is_some())
+        self.0.get(service).is_some_and(|failover| failover.proposal_under_way)
     }
 
     /// An entry was applied: the proposal that it may be of is not under way any more.
@@ -94,7 +92,7 @@
             return;
         };
         if let Some(failover) = self.0.get_mut(service) {
-            failover.proposed_at = None;
+            failover.proposal_under_way = false;
             if matches!(command, Command::InstallPrimary { .. }) {
                 failover.promotion.epoch_opened();
             }
@@ -132,8 +130,9 @@
 /// What is remembered of one service's failover.
 #[derive(Debug, Default)]
 struct ServiceFailover {
-    /// A change of the epoch is under way since then.
-    proposed_at: Option<Instant>,
+    /// A change of the epoch is proposed and not decided. The controller sends it until it is, or until the term is over,
+    /// so that another one could overtake it.
+    proposal_under_way: bool,
     /// Since when the epoch is known to be closed without a lease in use.
     leases_over_since: Option<Instant>,
     last_recall_at: Option<Instant>,
@@ -166,9 +165,6 @@
 
     fn step(&mut self, service: &str, reports: PrimaryReports, context: &mut FailoverContext) {
         let now = context.leader.now;
-        if self.proposed_at.is_some_and(|at| now.duration_since(at) > PROPOSAL_TIMEOUT) {
-            self.proposed_at = None;
-        }
         let leader = context.leader;
         match leader.control_state.epochs.get(service) {
             None => self.install_first(service, context),
@@ -184,7 +180,7 @@
     }
 
     fn propose(&mut self, command: Command, context: &mut FailoverContext) {
-        self.proposed_at = Some(context.leader.now);
+        self.proposal_under_way = true;
         context.outbox.propose(command);
     }
 
@@ -194,7 +190,7 @@
         for instance in leader.registry.of_service(service).filter(|instance| instance.primary) {
             self.checks.check(leader.now, service, instance, context.outbox);
         }
-        if self.proposed_at.is_some() {
+        if self.proposal_under_way {
             return;
         }
         let Some((primary, term)) = self.checks.first_primary() else { return };
@@ -205,7 +201,7 @@
 
     /// Closes an open epoch once there is a reason to replace its primary.
     fn watch(&mut self, service: &str, epoch: &Epoch, reports: PrimaryReports, context: &mut FailoverContext) {
-        if self.proposed_at.is_some() {
+        if self.proposal_under_way {
             return;
         }
         let detector = FailureDetector {
@@ -259,7 +255,7 @@
         let leader = context.leader;
         let leases_over_since = *self.leases_over_since.get_or_insert(leader.now);
         self.check_all(service, context);
-        if self.proposed_at.is_some() {
+        if self.proposal_under_way {
             return;
         }
         self.promotion.forget_old_refusals(leader.now);
--- a/engine/tests/failover/main.rs
+++ b/engine/tests/failover/main.rs
@@ -1,4 +1,5 @@
 //! Failover of a primary: one leader at a time against scripted instances and a scripted platform.
 
 mod promotion_order;
+mod proposals;
 mod world;
--- a/engine/tests/failover/world.rs
+++ b/engine/tests/failover/world.rs
@@ -40,6 +40,9 @@
     instances: BTreeMap<&'static str, InstanceState>,
     /// Calls in flight.
     pub calls: Vec<Call>,
+    /// Whether the log decides nothing, and what waits for it.
+    pub log_stalls: bool,
+    undecided: Vec<Command>,
 }
 
 fn leadership(now: Instant, node: &str) -> Leadership {
@@ -59,6 +62,8 @@
             leadership: leadership(now, "first"),
             instances: BTreeMap::new(),
             calls: Vec::new(),
+            log_stalls: false,
+            undecided: Vec::new(),
         };
         for (id, leads) in [("p", Some(1)), ("a", None), ("b", None)] {
             world.instances.insert(id, InstanceState { leads, dark: false });
@@ -112,6 +117,7 @@
     pub fn change_leader(&mut self, node: &str) {
         self.term += 1;
         self.calls.clear();
+        self.undecided.clear();
         self.leadership = leadership(self.now, node);
     }
 
@@ -138,6 +144,19 @@
         self.leadership.platform_call_finished(self.now, call.token, PlatformCallOutcome::from_status(status));
     }
 
+    /// The log decides what waited.
+    pub fn log_goes_on(&mut self) {
+        self.log_stalls = false;
+        for command in std::mem::take(&mut self.undecided) {
+            self.apply(&command);
+        }
+    }
+
+    /// The changes of the epoch that the log has not decided.
+    pub fn undecided(&self) -> &[Command] {
+        &self.undecided
+    }
+
     fn apply(&mut self, command: &Command) {
         let index = self.control_state.applied_index + 1;
         self.control_state.apply(index, ProposalId::default(), command);
@@ -160,6 +179,7 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
+            Effect::Propose(command) if self.log_stalls => self.undecided.push(command),
             Effect::Propose(command) => self.apply(&command),
             Effect::HealthCheck { token, instance, text } => {
                 let result = self.health_check(&instance.id, &text);
