Failover: close an epoch when another instance leads a later term

Callers could see writes acknowledged at a primary that had been deposed, for as long as it could not reach its successor. It takes a promotion that the leader does not expect, as by an unanswered call that is carried out very late.

Cause: when another instance said that it leads, the leader asked the present primary alone, which does not know yet.

Change: the other instance is asked too; a later term than the epoch's closes the epoch.

--- a/engine/src/process/leadership/failure_detection.rs
+++ b/engine/src/process/leadership/failure_detection.rs
@@ -56,7 +56,7 @@
 }
 
 /// Why a primary is replaced.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ReplaceReason {
     /// It announced its end, and another instance can follow.
     #[error("the primary is draining")]
@@ -67,6 +67,14 @@
     /// It answered that it leads no more.
     #[error("the primary does not lead any more")]
     Deposed,
+    /// Another instance answered that it leads a later term of the database.
+    #[error("{successor} leads the later term {term}")]
+    Superseded {
+        /// Id of the instance that leads.
+        successor: String,
+        /// The term that it leads.
+        term: u64,
+    },
     /// This daemon and enough poolers cannot reach it.
     #[error("{failing} poolers and this controller cannot reach the primary, {healthy} poolers can")]
     Unreachable {
@@ -89,6 +97,8 @@
     pub service: &'a str,
     /// Id of its primary.
     pub primary: &'a str,
+    /// The database's term that the primary leads.
+    pub term: u64,
     /// What the poolers report of it.
     pub reports: PrimaryReports,
 }
@@ -104,6 +114,9 @@
             checks.clear();
             return None;
         }
+        if let Some(superseded) = self.later_lead(checks, outbox) {
+            return Some(superseded);
+        }
         let Some(instance) = instance else {
             return self.is_unknown_to_all().then_some(ReplaceReason::Unknown);
         };
@@ -115,6 +128,15 @@
         self.context.registry.of_service(self.service).filter(|instance| instance.id != self.primary)
     }
 
+    /// Asks the other instances that say that they lead; the primary itself does not know yet that it was deposed.
+    fn later_lead(&self, checks: &mut HealthChecks, outbox: &mut Outbox) -> Option<ReplaceReason> {
+        self.other_instances().filter(|instance| instance.primary).find_map(|instance| {
+            checks.check(self.context.now, self.service, instance, outbox);
+            let term = checks.get(&instance.id)?.result.as_ref()?.led_term()?;
+            (term > self.term).then(|| ReplaceReason::Superseded { successor: instance.id.clone(), term })
+        })
+    }
+
     fn has_successor(&self) -> bool {
         self.other_instances().any(|instance| !self.context.is_draining(&instance.id))
     }
--- a/engine/src/process/leadership/primary_failover.rs
+++ b/engine/src/process/leadership/primary_failover.rs
@@ -210,6 +210,7 @@
             heartbeat_interval: context.heartbeat_interval,
             service,
             primary: &epoch.primary,
+            term: epoch.term,
             reports,
         };
         if let Some(reason) = detector.reason_to_replace(&mut self.checks, context.outbox) {
--- a/engine/tests/failover/world.rs
+++ b/engine/tests/failover/world.rs
@@ -38,6 +38,8 @@
     registry: InstanceRegistry,
     leadership: Leadership,
     instances: BTreeMap<&'static str, InstanceState>,
+    /// Heartbeats sent by all instances.
+    heartbeats: u64,
     /// Calls in flight.
     pub calls: Vec<Call>,
     /// Whether the log decides nothing, and what waits for it.
@@ -61,6 +63,7 @@
             registry: InstanceRegistry::default(),
             leadership: leadership(now, "first"),
             instances: BTreeMap::new(),
+            heartbeats: 0,
             calls: Vec::new(),
             log_stalls: false,
             undecided: Vec::new(),
@@ -74,7 +77,9 @@
         world
     }
 
-    fn heartbeat(&mut self, id: &str) {
+    /// The instance tells what it leads.
+    pub fn heartbeat(&mut self, id: &str) {
+        self.heartbeats += 1;
         let state = self.instances[id];
         let read_from = if state.leads.is_some() { "primary" } else { "replica" };
         let heartbeat = InstanceHeartbeat {
@@ -85,7 +90,7 @@
             status: "ready".into(),
             warmup_left_ms: 0,
             read_from: read_from.into(),
-            call_count: 1,
+            call_count: self.heartbeats,
         };
         self.registry.record_heartbeat(self.now, id, &heartbeat);
     }
