Leadership: forget the calls that are waited for when the term is over

Callers could see a second call to promote while the first is in flight.

Cause: pending calls outlived the term, and the failover takes the next outcome for that of its call in flight.

Evidence: the_outcome_of_an_earlier_terms_call_is_not_taken_for_that_of_the_ present_one failed before (two calls in flight), passes now.

--- a/engine/src/process/leadership/mod.rs
+++ b/engine/src/process/leadership/mod.rs
@@ -156,6 +156,7 @@
         self.rights.clear();
         self.usage.clear_term();
         self.old_primaries.clear();
+        self.outbox.forget_pending_calls();
     }
 
     /// A new term begins with nothing gathered.
--- a/engine/src/process/leadership/outbox.rs
+++ b/engine/src/process/leadership/outbox.rs
@@ -90,6 +90,11 @@
         self.pending_calls.remove(&token)
     }
 
+    /// The term is over: nobody waits for the answers to its calls.
+    pub fn forget_pending_calls(&mut self) {
+        self.pending_calls.clear();
+    }
+
     /// Wants a command appended to the log.
     pub fn propose(&mut self, command: Command) {
         self.effects.push(Effect::Propose(command));
--- a/engine/tests/failover/promotion_order.rs
+++ b/engine/tests/failover/promotion_order.rs
@@ -141,6 +141,21 @@
     assert_eq!(world.run_until_call(), other(&first));
 }
 
+/// The outcome of a call of an earlier term of the same process was taken for that of the call in flight.
+#[test]
+fn the_outcome_of_an_earlier_terms_call_is_not_taken_for_that_of_the_present_one() {
+    let mut world = World::new();
+    world.go_dark("p");
+    let first = world.run_until_call();
+    let earlier_call = world.calls.remove(0);
+    world.lead_again();
+    assert_eq!(world.run_until_call(), first);
+    world.answer_call(&earlier_call, CONFLICT);
+    world.go_dark(&first);
+    world.run(BEFORE_GIVEN_UP);
+    assert_eq!(world.calls.len(), 1, "{:?}", world.calls);
+}
+
 /// The same instance is named again at once after a call without an answer.
 #[test]
 fn an_unanswered_call_is_repeated_for_the_same_instance() {
--- a/engine/tests/failover/world.rs
+++ b/engine/tests/failover/world.rs
@@ -126,6 +126,12 @@
         self.leadership = leadership(self.now, node);
     }
 
+    /// The leader loses its lead, and wins it again under a later term.
+    pub fn lead_again(&mut self) {
+        self.term += 1;
+        self.leadership.step_down();
+    }
+
     pub fn run(&mut self, duration: Duration) {
         let until = self.now + duration;
         while self.now < until {
@@ -146,6 +152,11 @@
     /// The platform answers the oldest call in flight, or its time is over without an answer.
     pub fn answer(&mut self, status: Option<u16>) {
         let call = self.calls.remove(0);
+        self.answer_call(&call, status);
+    }
+
+    /// The platform answers a call.
+    pub fn answer_call(&mut self, call: &Call, status: Option<u16>) {
         self.leadership.platform_call_finished(self.now, call.token, PlatformCallOutcome::from_status(status));
     }
 
