Failover: without a platform, install whom an operator promotes

The rule that an epoch opens for the candidate alone held back an instance that was promoted by hand where no platform is configured: a candidate was selected though nobody was to be called. None is selected now, and one of the log does not count. without_a_platform_an_instance_promoted_by_hand_is_installed failed before (epoch still closed for p), passes now.

--- a/engine/src/process/leadership/primary_failover.rs
+++ b/engine/src/process/leadership/primary_failover.rs
@@ -268,6 +268,7 @@
             asked_since,
             instances: leader.registry.of_service(service).collect(),
             results: self.checks.results_requested_after(asked_since),
+            has_platform: context.platform.is_configured(),
             promotion: &self.promotion,
         };
         match Self::next_step(service, &survey, context) {
@@ -290,7 +291,7 @@
         if let Some(primary) = survey.new_primary() {
             return Step::Install(primary);
         }
-        if survey.promotion.must_wait(now, survey.epoch.epoch) {
+        if !survey.has_platform || survey.promotion.must_wait(now, survey.epoch.epoch) {
             return Step::Wait;
         }
         let Some(candidate) = survey.choose_candidate() else { return Step::Wait };
@@ -338,7 +339,7 @@
 
     fn promote(&mut self, service: &str, call: PromotionCall, candidate: &Candidate, context: &mut FailoverContext) {
         let now = context.leader.now;
-        if !context.platform.is_configured() || !context.platform.take_call_slot(now) {
+        if !context.platform.take_call_slot(now) {
             return;
         }
         self.promotion.started(call);
--- a/engine/src/process/leadership/successor.rs
+++ b/engine/src/process/leadership/successor.rs
@@ -50,6 +50,8 @@
     pub instances: Vec<&'a Instance>,
     /// Answers to checks requested after `asked_since`, by instance.
     pub results: BTreeMap<String, HealthCheckResult>,
+    /// Whether there is a platform that promotes instances.
+    pub has_platform: bool,
     /// The calls to promote an instance.
     pub promotion: &'a PromotionRequest,
 }
@@ -62,14 +64,14 @@
 
     /// The instance that the next epoch can be opened for.
     ///
-    /// If the platform was not asked to promote any, that is one that leads a later term, whoever promoted it, or the
+    /// If no platform was asked to promote any, that is one that leads a later term, whoever promoted it, or the
     /// old primary again if it stays. Otherwise it is the candidate in the log alone: a call that names it may have its
     /// effect at any moment, which would depose whoever else leads meanwhile.
     pub fn new_primary(&self) -> Option<NewPrimary> {
         let leading = self.results.iter().filter_map(|(id, result)| Some((result.led_term()?, id)));
         let (term, id) = leading.max()?;
         let took_over = term > self.epoch.term;
-        let may_lead = match self.epoch.candidate.as_deref() {
+        let may_lead = match self.epoch.candidate.as_deref().filter(|_| self.has_platform) {
             None => took_over || (*id == self.epoch.primary && term == self.epoch.term && self.old_primary_stays()),
             Some(candidate) => took_over && id == candidate && self.is_last_promoted(candidate, term),
         };
--- a/engine/tests/failover/deposed_primary.rs
+++ b/engine/tests/failover/deposed_primary.rs
@@ -18,6 +18,21 @@
     assert_eq!((epoch.epoch, epoch.primary.as_str(), epoch.term, epoch.closed), (2, "a", 2, false));
 }
 
+/// Without a platform no candidate is awaited: the epoch opens for whom the operator promotes.
+#[test]
+fn without_a_platform_an_instance_promoted_by_hand_is_installed() {
+    for promoted in ["a", "b"] {
+        let mut world = World::without_platform();
+        world.go_dark("p");
+        world.run(Duration::from_secs(6));
+        assert!(world.epoch().closed);
+        world.promote(promoted, 2);
+        world.run(NOTICED);
+        let epoch = world.epoch();
+        assert_eq!((epoch.primary.as_str(), epoch.closed), (promoted, false));
+    }
+}
+
 /// An instance that led before, and has not found its successor yet, is no reason.
 #[test]
 fn an_epoch_stays_open_when_another_instance_leads_an_earlier_term() {
--- a/engine/tests/failover/world.rs
+++ b/engine/tests/failover/world.rs
@@ -47,21 +47,33 @@
     undecided: Vec<Command>,
 }
 
-fn leadership(now: Instant, node: &str) -> Leadership {
-    let platform = Platform { address: "127.0.0.1:1".parse().expect("address"), duty_per_s: 50.0 };
-    Leadership::new(now, node, TimingBounds::default(), HEARTBEAT_INTERVAL, Some(platform))
+fn platform() -> Platform {
+    Platform { address: "127.0.0.1:1".parse().expect("address"), duty_per_s: 50.0 }
+}
+
+fn leadership(now: Instant, node: &str, platform: Option<Platform>) -> Leadership {
+    Leadership::new(now, node, TimingBounds::default(), HEARTBEAT_INTERVAL, platform)
 }
 
 impl World {
     /// Instance `p` leads term 1 in epoch 1; `a` and `b` follow. The leader has led for a while.
     pub fn new() -> Self {
+        World::with_platform(Some(platform()))
+    }
+
+    /// The same where nobody but an operator promotes instances.
+    pub fn without_platform() -> Self {
+        World::with_platform(None)
+    }
+
+    fn with_platform(platform: Option<Platform>) -> Self {
         let now = Instant::now();
         let mut world = World {
             now,
             term: 1,
             control_state: ControlState::default(),
             registry: InstanceRegistry::default(),
-            leadership: leadership(now, "first"),
+            leadership: leadership(now, "first", platform),
             instances: BTreeMap::new(),
             heartbeats: 0,
             calls: Vec::new(),
@@ -123,7 +135,7 @@
         self.term += 1;
         self.calls.clear();
         self.undecided.clear();
-        self.leadership = leadership(self.now, node);
+        self.leadership = leadership(self.now, node, Some(platform()));
     }
 
     /// The leader loses its lead, and wins it again under a later term.
