Failover: one service's steps in a module of their own

Moved, not changed: primary_failover keeps the services' failovers and the table of steps, service_failover has the steps. Three tests share their second half.

--- a/engine/src/process/leadership/mod.rs
+++ b/engine/src/process/leadership/mod.rs
@@ -3,8 +3,9 @@
 //! * [`leases`]: who may grant a lease, and which may still be in use.
 //! * [`poolers`]: the poolers that ask for leases, and what they report.
 //! * [`failure_detection`]: when a primary is replaced.
-//! * [`primary_failover`]: how it is replaced, step by step, and why that is safe; with [`successor`] (whom to promote),
-//!   [`promotion_request`] (the call to the platform) and [`health_check`] (the instances' own answers).
+//! * [`primary_failover`]: how it is replaced, step by step, and why that is safe; with [`service_failover`] (the steps),
+//!   [`successor`] (whom to promote), [`promotion_request`] (the call to the platform) and [`health_check`] (the
+//!   instances' own answers).
 //! * [`old_primaries`]: replaced primaries are asked to step down.
 //! * [`connection_shares`]: among which poolers connections are divided.
 //! * [`tenant_rights`]: handing out the tenants' rights to run operations.
@@ -26,6 +27,7 @@
 pub mod poolers;
 pub mod primary_failover;
 pub mod promotion_request;
+pub mod service_failover;
 pub mod successor;
 pub mod tenant_rights;
 pub mod usage_reports;
--- a/engine/tests/failover/promotion_order.rs
+++ b/engine/tests/failover/promotion_order.rs
@@ -33,14 +33,11 @@
     (first, second)
 }
 
-/// ONE: the first candidate, back after another one was named, was installed although it was about to be deposed.
-#[test]
-fn a_candidate_that_was_given_up_is_not_installed_once_another_is_named() {
-    let mut world = World::new();
-    let (first, second) = promoted_out_of_sight(&mut world);
+/// The first candidate is back while the second has been named and not promoted yet.
+fn installs_only_the_second(world: &mut World, first: &str, second: &str) {
     assert_eq!(world.run_until_call(), second);
     world.answer(OK);
-    world.come_back(&first);
+    world.come_back(first);
     world.run(MOMENT);
     assert!(world.epoch().closed, "installed {}", world.epoch().primary);
     world.promote(second, 3);
@@ -49,20 +46,21 @@
     assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (second, 3));
 }
 
+/// ONE: the first candidate, back after another one was named, was installed although it was about to be deposed.
+#[test]
+fn a_candidate_that_was_given_up_is_not_installed_once_another_is_named() {
+    let mut world = World::new();
+    let (first, second) = promoted_out_of_sight(&mut world);
+    installs_only_the_second(&mut world, &first, second);
+}
+
 /// ONE, planned: the same where the old primary drains and goes on to lead its term.
 #[test]
 fn a_candidate_for_a_draining_primary_is_not_installed_once_another_is_named() {
     let mut world = World::new();
     world.drain("p");
     let (first, second) = named_and_dark(&mut world);
-    assert_eq!(world.run_until_call(), second);
-    world.answer(OK);
-    world.come_back(&first);
-    world.run(MOMENT);
-    assert!(world.epoch().closed, "installed {}", world.epoch().primary);
-    world.promote(second, 3);
-    world.run(MOMENT);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (second, 3));
+    installs_only_the_second(&mut world, &first, second);
 }
 
 /// ONE after a change of leader: the candidate of the earlier leader was installed although the new one had named another.
@@ -71,14 +69,7 @@
     let mut world = World::new();
     let (first, second) = promoted_out_of_sight(&mut world);
     world.change_leader("second");
-    assert_eq!(world.run_until_call(), second);
-    world.answer(OK);
-    world.come_back(&first);
-    world.run(MOMENT);
-    assert!(world.epoch().closed, "installed {}", world.epoch().primary);
-    world.promote(second, 3);
-    world.run(MOMENT);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (second, 3));
+    installs_only_the_second(&mut world, &first, second);
 }
 
 /// ONE after a change of leader: the log names the first candidate again, but the second may have been promoted since.
