Soak: an instance that nobody sees while it is promoted

A candidate is isolated when the platform has accepted its promotion, until another one is accepted or 7 s are over; drawn for half of the seeds with failures, from a sequence of its own, so that the other troubles of a seed are those of before.

--- a/simulator/src/soak/instances.rs
+++ b/simulator/src/soak/instances.rs
@@ -28,6 +28,8 @@
 const WORK_MILLIS: std::ops::Range<u64> = 2..30;
 /// One answer in this many is lost while answers are dropped.
 const DROPPED_ANSWER_ODDS: u32 = 6;
+/// An instance that is isolated for its promotion is back after this at the latest.
+const ISOLATED_AT_MOST: Duration = Duration::from_secs(7);
 /// Begins a client's statement.
 const CLIENT_STATEMENT: &str = "QUERY c";
 const STATUS_OK: u16 = 200;
@@ -43,6 +45,18 @@
     rng: fastrand::Rng,
     refuse_setup_until: Option<Instant>,
     drop_answers_until: Option<Instant>,
+    candidate_isolation: CandidateIsolation,
+}
+
+/// Whether an instance is isolated while it is promoted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CandidateIsolation {
+    /// None is.
+    Off,
+    /// The next one will be.
+    Next,
+    /// This one is, until another one is to be promoted.
+    Isolated(usize),
 }
 
 /// An answer on its way.
@@ -77,6 +91,7 @@
             rng: fastrand::Rng::with_seed(seed),
             refuse_setup_until: None,
             drop_answers_until: None,
+            candidate_isolation: CandidateIsolation::Off,
         };
         let group = Rc::new(InstanceGroup { executor, addresses, observations, state: shared(state) });
         for number in 0..INSTANCES {
@@ -107,6 +122,31 @@
         self.executor.spawn(recovery).detach();
     }
 
+    /// The primary ends, and the instance that is promoted in its place is seen by nobody until another one is to be
+    /// promoted.
+    pub(super) fn isolate_candidate(self: &Rc<Self>, time: Duration) {
+        self.state.borrow_mut().candidate_isolation = CandidateIsolation::Next;
+        self.crash_primary(time);
+    }
+
+    fn candidate_accepted(self: &Rc<Self>, index: usize) {
+        let mut state = self.state.borrow_mut();
+        match state.candidate_isolation {
+            CandidateIsolation::Next => {
+                state.instances[index].isolated = true;
+                state.candidate_isolation = CandidateIsolation::Isolated(index);
+            }
+            CandidateIsolation::Isolated(before) if before != index => return state.end_isolation(before),
+            CandidateIsolation::Isolated(_) | CandidateIsolation::Off => return,
+        }
+        let group = Rc::clone(self);
+        let end = async move {
+            smol::Timer::after(ISOLATED_AT_MOST).await;
+            group.state.borrow_mut().end_isolation(index);
+        };
+        self.executor.spawn(end).detach();
+    }
+
     /// Statements that prepare a connection are refused.
     pub(super) fn refuse_setup(&self, time: Duration) {
         let mut state = self.state.borrow_mut();
@@ -155,6 +195,9 @@
         let mut observations = self.observations.borrow_mut();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        if state.instances[index].isolated {
+            return None;
+        }
         let now = observations.now();
         for statement in text.split(CLIENT_STATEMENT).skip(1) {
             let id = statement.split(' ').next().unwrap_or_default();
@@ -192,7 +235,7 @@
     async fn send_heartbeat(&self, index: usize, controller: SocketAddrV4) -> bool {
         let (path, mut body) = {
             let instance = &mut self.state.borrow_mut().instances[index];
-            if !instance.up {
+            if !instance.up || instance.isolated {
                 return true;
             }
             (format!("/api/instances/{}", instance.id), instance.next_heartbeat())
@@ -231,6 +274,7 @@
         let id = body["id"].as_str().unwrap_or_default();
         let index = self.state.borrow().instances.iter().position(|instance| instance.id == id && instance.up);
         let Some(index) = index else { return STATUS_CONFLICT };
+        self.candidate_accepted(index);
         let group = Rc::clone(self);
         let promotion = async move {
             smol::Timer::after(PROMOTION_TIME).await;
@@ -264,6 +308,17 @@
         Some(self.last_connection)
     }
 
+    /// An isolated instance is seen again. Its connections have lost what was sent meanwhile.
+    fn end_isolation(&mut self, index: usize) {
+        if self.candidate_isolation != CandidateIsolation::Isolated(index) {
+            return;
+        }
+        self.candidate_isolation = CandidateIsolation::Off;
+        self.instances[index].isolated = false;
+        self.instances[index].close_all_connections();
+        self.streams[index].drain().for_each(|(_, stream)| stream.abort());
+    }
+
     /// An instance that was down is back; a deposed primary as an empty replica.
     fn recover(&mut self, index: usize) {
         let term = self.log.term;
--- a/simulator/src/soak/mod.rs
+++ b/simulator/src/soak/mod.rs
@@ -192,6 +192,7 @@
             Trouble::FreezeController(number, time) => self.freeze(&mut deployment, Role::Controller, number, time),
             Trouble::ChangeConfiguration => self.operator.change_configuration(),
             Trouble::RotateKey(tenant) => self.operator.rotate_key(tenant),
+            Trouble::IsolateCandidate(time) => self.instances.isolate_candidate(time),
             Trouble::CrashPrimary(time) => self.instances.crash_primary(time),
             Trouble::RefuseSetup(time) => self.instances.refuse_setup(time),
             Trouble::DropAnswers(time) => self.instances.drop_answers(time),
--- a/simulator/src/soak/plan.rs
+++ b/simulator/src/soak/plan.rs
@@ -8,6 +8,10 @@
 const FREEZE_MILLIS: std::ops::Range<u64> = 300..3000;
 /// How long an instance is out of order, in milliseconds.
 const INSTANCE_TROUBLE_MILLIS: std::ops::Range<u64> = 1000..6500;
+/// Of this many runs with failures, one has a candidate isolated.
+const ISOLATED_CANDIDATE_ODDS: u32 = 2;
+/// Draws the isolated candidates from a sequence of their own, so that the other troubles of a seed stay as they were.
+const ISOLATED_CANDIDATE_STREAM: u64 = 0x0139;
 /// Tenants whose keys may change.
 pub(super) const TENANTS: usize = 2;
 
@@ -96,6 +100,8 @@
     RotateKey(usize),
     /// The primary ends, and starts again with its log.
     CrashPrimary(Duration),
+    /// The same, and the instance that is promoted in its place is isolated until another one is to be promoted.
+    IsolateCandidate(Duration),
     /// Instances refuse statements that prepare a connection.
     RefuseSetup(Duration),
     /// Instances' answers get lost.
@@ -122,6 +128,7 @@
             Trouble::FreezePooler(_, time)
             | Trouble::FreezeController(_, time)
             | Trouble::CrashPrimary(time)
+            | Trouble::IsolateCandidate(time)
             | Trouble::RefuseSetup(time)
             | Trouble::DropAnswers(time) => *time,
             Trouble::RestartPooler(_)
@@ -163,10 +170,22 @@
             _ => troubles.push(PlannedTrouble { at, trouble: draw.trouble() }),
         }
     }
+    troubles.extend(draw_isolated_candidate(seed, options));
     troubles.sort_by_key(|planned| planned.at);
     troubles
 }
 
+/// In the first half of a run, so that a second promotion falls into it.
+fn draw_isolated_candidate(seed: u64, options: &SoakOptions) -> Option<PlannedTrouble> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ ISOLATED_CANDIDATE_STREAM);
+    if options.kinds == TroubleKinds::Planned || rng.u32(0..ISOLATED_CANDIDATE_ODDS) != 0 {
+        return None;
+    }
+    let at = Duration::from_millis(rng.u64(0..options.length.as_millis() as u64 / 2));
+    let crash = Duration::from_millis(rng.u64(INSTANCE_TROUBLE_MILLIS));
+    Some(PlannedTrouble { at, trouble: Trouble::IsolateCandidate(crash) })
+}
+
 struct Draw {
     rng: fastrand::Rng,
     size: Size,
