Simulator: machines apart from their life, one isolation of candidates

Moved, not changed: world/host has what a machine is, world/hosts starts and stops daemons; soak/platform has the heartbeats and the platform's API. The isolation of a candidate stood in the simulated world and in the soak; it is one type of the database stand-in now.

--- a/engine/tests/failover/promotion_order.rs
+++ b/engine/tests/failover/promotion_order.rs
@@ -42,8 +42,7 @@
     assert!(world.epoch().closed, "installed {}", world.epoch().primary);
     world.promote(second, 3);
     world.run(MOMENT);
-    assert!(!world.epoch().closed);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (second, 3));
+    world.assert_installed(second, 3);
 }
 
 /// ONE: the first candidate, back after another one was named, was installed although it was about to be deposed.
@@ -89,7 +88,7 @@
     world.answer(OK);
     world.promote(&first, 4);
     world.run(MOMENT);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (first.as_str(), 4));
+    world.assert_installed(&first, 4);
 }
 
 /// A leader that dies in a promotion costs no second call where all replicas answer.
@@ -101,8 +100,7 @@
     world.change_leader("second");
     world.promote(&first, 2);
     world.run(Duration::from_millis(2500));
-    assert!(!world.epoch().closed);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (first.as_str(), 2));
+    world.assert_installed(&first, 2);
     assert!(world.calls.is_empty());
 }
 
@@ -187,8 +185,7 @@
     assert!(world.epoch().closed, "installed at term {}", world.epoch().term);
     world.promote(&first, 4);
     world.run(MOMENT);
-    assert!(!world.epoch().closed);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (first.as_str(), 4));
+    world.assert_installed(&first, 4);
 }
 
 /// The same where the platform never promoted the second: naming the present primary changes nothing, and ends the wait.
@@ -203,8 +200,7 @@
     assert_eq!(world.run_until_call(), first);
     world.answer(OK);
     world.run(UNTIL_GIVEN_UP);
-    assert!(!world.epoch().closed);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (first.as_str(), 2));
+    world.assert_installed(&first, 2);
 }
 
 /// A refused call has no effect: the instance that was promoted before it is installed without another call.
@@ -217,7 +213,6 @@
     world.go_dark(second);
     world.come_back(&first);
     world.run(Duration::from_millis(500));
-    assert!(!world.epoch().closed);
-    assert_eq!((world.epoch().primary.as_str(), world.epoch().term), (first.as_str(), 2));
+    world.assert_installed(&first, 2);
     assert!(world.calls.is_empty());
 }
--- a/engine/tests/failover/world.rs
+++ b/engine/tests/failover/world.rs
@@ -111,6 +111,13 @@
         &self.control_state.epochs[SERVICE]
     }
 
+    /// The epoch is open for an instance that leads this term.
+    #[track_caller]
+    pub fn assert_installed(&self, id: &str, term: u64) {
+        let epoch = self.epoch();
+        assert_eq!((epoch.primary.as_str(), epoch.term, epoch.closed), (id, term, false));
+    }
+
     /// Nobody reaches the instance any more.
     pub fn go_dark(&mut self, id: &str) {
         self.instances.get_mut(id).expect("instance").dark = true;
--- a/simulator/src/database/mod.rs
+++ b/simulator/src/database/mod.rs
@@ -1,9 +1,11 @@
 //! A stand-in for a database group: instances that speak the published protocol and replicate a log of commits
 //! without content.
 
+mod candidate_isolation;
 mod group_log;
 mod protocol;
 
+pub use candidate_isolation::{CandidateIsolation, IsolationChange};
 pub use group_log::{GroupLog, LogEntry, promote};
 pub use protocol::{GroupContext, InstanceConnection, Response};
 
--- a/simulator/src/soak/instances.rs
+++ b/simulator/src/soak/instances.rs
@@ -1,62 +1,40 @@
-//! The database group over real sockets, and the platform's API.
+//! The database group over real sockets.
 
 use super::addresses::Addresses;
 use super::observations::Observations;
-use crate::database::{self, DatabaseInstance, GroupContext, GroupLog, Response};
+use crate::database::{CandidateIsolation, DatabaseInstance, GroupContext, GroupLog, Response};
 use lichenfield_engine::connection::client_session::Position;
 use lichenfield_runtime::byte_stream::ByteStream;
-use lichenfield_runtime::http::{self, HttpResponse, OutboundRequest};
 use lichenfield_runtime::{Executor, Shared, shared};
 use smol::Async;
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// The service that clients use.
 pub(super) const SERVICE: &str = "records";
-const INSTANCES: usize = 3;
+pub(super) const INSTANCES: usize = 3;
 const FIRST_ID: usize = 1000;
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1000);
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
-/// Controllers that a heartbeat is sent to until one takes it.
-const HEARTBEAT_ATTEMPTS: usize = 3;
-/// From a call of the platform to the promotion.
-const PROMOTION_TIME: Duration = Duration::from_millis(300);
 /// How long an instance takes to answer, in milliseconds.
 const WORK_MILLIS: std::ops::Range<u64> = 2..30;
 /// One answer in this many is lost while answers are dropped.
 const DROPPED_ANSWER_ODDS: u32 = 6;
-/// An instance that is isolated for its promotion is back after this at the latest.
-const ISOLATED_AT_MOST: Duration = Duration::from_secs(7);
 /// Begins a client's statement.
 const CLIENT_STATEMENT: &str = "QUERY c";
-const STATUS_OK: u16 = 200;
-const STATUS_CONFLICT: u16 = 409;
 
 /// The instances, and what is wrong with them.
-struct GroupState {
-    instances: Vec<DatabaseInstance>,
-    log: GroupLog,
+pub(super) struct GroupState {
+    pub(super) instances: Vec<DatabaseInstance>,
+    pub(super) log: GroupLog,
     /// Open connections, by instance.
     streams: Vec<HashMap<u64, Rc<ByteStream>>>,
     last_connection: u64,
     rng: fastrand::Rng,
     refuse_setup_until: Option<Instant>,
     drop_answers_until: Option<Instant>,
-    candidate_isolation: CandidateIsolation,
-}
-
-/// Whether an instance is isolated while it is promoted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CandidateIsolation {
-    /// None is.
-    Off,
-    /// The next one will be.
-    Next,
-    /// This one is, until another one is to be promoted.
-    Isolated(usize),
+    pub(super) candidate_isolation: CandidateIsolation,
 }
 
 /// An answer on its way.
@@ -67,10 +45,10 @@
 
 /// The database group.
 pub(super) struct InstanceGroup {
-    executor: Executor,
-    addresses: Addresses,
-    observations: Shared<Observations>,
-    state: Shared<GroupState>,
+    pub(super) executor: Executor,
+    pub(super) addresses: Addresses,
+    pub(super) observations: Shared<Observations>,
+    pub(super) state: Shared<GroupState>,
 }
 
 impl InstanceGroup {
@@ -129,24 +107,6 @@
         self.crash_primary(time);
     }
 
-    fn candidate_accepted(self: &Rc<Self>, index: usize) {
-        let mut state = self.state.borrow_mut();
-        match state.candidate_isolation {
-            CandidateIsolation::Next => {
-                state.instances[index].isolated = true;
-                state.candidate_isolation = CandidateIsolation::Isolated(index);
-            }
-            CandidateIsolation::Isolated(before) if before != index => return state.end_isolation(before),
-            CandidateIsolation::Isolated(_) | CandidateIsolation::Off => return,
-        }
-        let group = Rc::clone(self);
-        let end = async move {
-            smol::Timer::after(ISOLATED_AT_MOST).await;
-            group.state.borrow_mut().end_isolation(index);
-        };
-        self.executor.spawn(end).detach();
-    }
-
     /// Statements that prepare a connection are refused.
     pub(super) fn refuse_setup(&self, time: Duration) {
         let mut state = self.state.borrow_mut();
@@ -215,86 +175,6 @@
         let is_empty = response.text.is_empty() && !response.closes;
         (!is_lost && !is_empty).then_some(DelayedAnswer { response, delay })
     }
-
-    // Heartbeats and the platform.
-
-    async fn send_heartbeats(self: Rc<Self>, index: usize) {
-        let mut controller = index;
-        loop {
-            for _ in 0..HEARTBEAT_ATTEMPTS {
-                if self.send_heartbeat(index, self.addresses.control(controller % INSTANCES)).await {
-                    break;
-                }
-                controller += 1;
-            }
-            smol::Timer::after(HEARTBEAT_INTERVAL).await;
-        }
-    }
-
-    /// Whether the controller acknowledged it. An instance that is down sends none.
-    async fn send_heartbeat(&self, index: usize, controller: SocketAddrV4) -> bool {
-        let (path, mut body) = {
-            let instance = &mut self.state.borrow_mut().instances[index];
-            if !instance.up || instance.isolated {
-                return true;
-            }
-            (format!("/api/instances/{}", instance.id), instance.next_heartbeat())
-        };
-        body["address"] = self.addresses.instance(index).to_string().into();
-        let request = OutboundRequest {
-            address: controller,
-            method: "PUT",
-            path: &path,
-            headers: &[],
-            body: body.to_string().into_bytes(),
-            timeout: HEARTBEAT_TIMEOUT,
-        };
-        let response = http::send(self.executor, request, || true).await;
-        response.is_ok_and(|response| response.status == STATUS_OK)
-    }
-
-    fn serve_platform(self: &Rc<Self>, address: SocketAddrV4) -> io::Result<()> {
-        let group = Rc::clone(self);
-        http::serve(self.executor, address, move |call| {
-            let body: serde_json::Value = serde_json::from_slice(&call.body).unwrap_or_default();
-            let status = group.handle_platform_call(&call.path, &body);
-            async move { HttpResponse::status(status) }
-        })?;
-        Ok(())
-    }
-
-    fn handle_platform_call(self: &Rc<Self>, path: &str, body: &serde_json::Value) -> u16 {
-        if path == "/usage" {
-            let window = body["window-number"].as_u64().unwrap_or_default();
-            let mut observations = self.observations.borrow_mut();
-            let now = observations.now();
-            observations.judge.record_usage(now, window, &body["counts"].to_string());
-            return STATUS_OK;
-        }
-        let id = body["id"].as_str().unwrap_or_default();
-        let index = self.state.borrow().instances.iter().position(|instance| instance.id == id && instance.up);
-        let Some(index) = index else { return STATUS_CONFLICT };
-        self.candidate_accepted(index);
-        let group = Rc::clone(self);
-        let promotion = async move {
-            smol::Timer::after(PROMOTION_TIME).await;
-            group.promote(index);
-        };
-        self.executor.spawn(promotion).detach();
-        STATUS_OK
-    }
-
-    fn promote(&self, index: usize) {
-        let mut observations = self.observations.borrow_mut();
-        let now = observations.now();
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        let Some(kept) = database::promote(&mut state.instances, index, now, &mut state.log) else { return };
-        for commit in observations.judge.commits.iter_mut().filter(|commit| commit.position > kept) {
-            commit.truncated = true;
-        }
-        observations.judge.promotions += 1;
-    }
 }
 
 impl GroupState {
@@ -309,11 +189,7 @@
     }
 
     /// An isolated instance is seen again. Its connections have lost what was sent meanwhile.
-    fn end_isolation(&mut self, index: usize) {
-        if self.candidate_isolation != CandidateIsolation::Isolated(index) {
-            return;
-        }
-        self.candidate_isolation = CandidateIsolation::Off;
+    pub(super) fn end_isolation(&mut self, index: usize) {
         self.instances[index].isolated = false;
         self.instances[index].close_all_connections();
         self.streams[index].drain().for_each(|(_, stream)| stream.abort());
--- a/simulator/src/soak/mod.rs
+++ b/simulator/src/soak/mod.rs
@@ -19,6 +19,7 @@
 mod operation;
 mod operator;
 mod plan;
+mod platform;
 mod settings;
 mod wire;
 
--- a/simulator/src/world/connections.rs
+++ b/simulator/src/world/connections.rs
@@ -2,7 +2,7 @@
 
 use super::database_group::DRAIN_TIME;
 use super::events::Event;
-use super::hosts::ProcessId;
+use super::host::ProcessId;
 use super::{HostIndex, InstanceIndex, World};
 use crate::database::{GroupContext, Response};
 use crate::judge::Violation;
--- a/simulator/src/world/database_group.rs
+++ b/simulator/src/world/database_group.rs
@@ -2,7 +2,7 @@
 
 use super::actions::InstanceTarget;
 use super::events::{Event, FollowUp};
-use super::hosts::ProcessId;
+use super::host::ProcessId;
 use super::operator::{ApiCall, ApiRequest};
 use super::{InstanceIndex, SERVICE, World};
 use crate::database::{self, DatabaseInstance};
--- a/simulator/src/world/draining.rs
+++ b/simulator/src/world/draining.rs
@@ -2,7 +2,8 @@
 
 use super::actions::{Action, Target};
 use super::events::FollowUp;
-use super::hosts::{Daemon, Drain, StopCause};
+use super::host::{Daemon, Drain};
+use super::hosts::StopCause;
 use super::{HostIndex, SessionId, World};
 use lichenfield_engine::connection::draining::{DrainPhase, SESSIONS_CLOSED_PER_STEP};
 use lichenfield_engine::connection::shutdown::{Shutdown, ShutdownStep};
--- a/simulator/src/world/effects.rs
+++ b/simulator/src/world/effects.rs
@@ -1,7 +1,7 @@
 //! Ticks of the daemons, and the effects that they ask for.
 
 use super::events::Event;
-use super::hosts::{Daemon, HeldMessage, PendingWrite, ProcessId};
+use super::host::{Daemon, HeldMessage, PendingWrite, ProcessId};
 use super::platform::PlatformRequest;
 use super::{HostIndex, INITIAL_TIME_OF_DAY, World};
 use crate::judge::Violation;
--- a/simulator/src/world/events.rs
+++ b/simulator/src/world/events.rs
@@ -2,7 +2,7 @@
 
 use super::actions::Action;
 use super::connections::ConnectionKey;
-use super::hosts::ProcessId;
+use super::host::ProcessId;
 use super::{ClientIndex, HostIndex, InstanceIndex, SessionId, World};
 use lichenfield_engine::process::leadership::HealthCheckResult;
 use lichenfield_engine::process::peer_message::PeerMessage;
--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -11,6 +11,7 @@
 mod draining;
 mod effects;
 mod events;
+mod host;
 mod hosts;
 mod measures;
 mod network;
@@ -23,7 +24,7 @@
 
 pub use measures::Traffic;
 
-use crate::database::{DatabaseInstance, GroupLog};
+use crate::database::{CandidateIsolation, DatabaseInstance, GroupLog};
 use crate::judge::Judge;
 use crate::trace::Trace;
 use actions::PlatformState;
@@ -31,10 +32,9 @@
 use connections::ConnectionKey;
 use database_group::PRIMARY_INDEX;
 use events::{Event, EventQueue, FollowUp};
-use hosts::Host;
+use host::Host;
 use network::Network;
 use operator::Operator;
-use platform::CandidateIsolation;
 use sessions::{Forwarding, Session};
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
--- a/simulator/src/world/network.rs
+++ b/simulator/src/world/network.rs
@@ -2,7 +2,7 @@
 
 use super::actions::{PartitionScope, Target};
 use super::events::Event;
-use super::hosts::{Daemon, ProcessId};
+use super::host::{Daemon, ProcessId};
 use super::{HostIndex, World};
 use lichenfield_engine::process::peer_message::{self, PeerMessage};
 use std::collections::BTreeSet;
--- a/simulator/src/world/perform.rs
+++ b/simulator/src/world/perform.rs
@@ -2,8 +2,8 @@
 
 use super::actions::{Action, Target};
 use super::hosts::StopCause;
-use super::platform::CandidateIsolation;
 use super::{HostIndex, World};
+use crate::database::CandidateIsolation;
 
 impl World {
     /// Performs an action. Anything but planned operation excuses lost requests for a while.
--- a/simulator/src/world/platform.rs
+++ b/simulator/src/world/platform.rs
@@ -2,8 +2,9 @@
 
 use super::actions::PlatformState;
 use super::events::Event;
-use super::hosts::ProcessId;
-use super::{HostIndex, InstanceIndex, World};
+use super::host::ProcessId;
+use super::{HostIndex, World};
+use crate::database::IsolationChange;
 use crate::judge::DutyCall;
 use lichenfield_engine::process::leadership::PlatformCallOutcome;
 use std::time::Duration;
@@ -19,17 +20,6 @@
 const STATUS_OK: u16 = 200;
 const STATUS_CONFLICT: u16 = 409;
 
-/// Whether instances are isolated while they are promoted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum CandidateIsolation {
-    /// They are not.
-    Off,
-    /// The next one will be.
-    Next,
-    /// This one is, until another one is accepted.
-    Isolated(InstanceIndex),
-}
-
 /// A controller's call.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PlatformRequest<'a> {
@@ -87,22 +77,11 @@
         if !self.instances[index].is_primary {
             self.schedule(PROMOTION_TIME, Event::Promote(index));
         }
-        self.isolate_candidate(index);
-        STATUS_OK
-    }
-
-    /// Isolates an instance that is about to be promoted, or brings the one before it back.
-    fn isolate_candidate(&mut self, index: InstanceIndex) {
-        match self.candidate_isolation {
-            CandidateIsolation::Next => {
-                self.instances[index].isolated = true;
-                self.candidate_isolation = CandidateIsolation::Isolated(index);
-            }
-            CandidateIsolation::Isolated(before) if before != index => {
-                self.instances[before].isolated = false;
-                self.candidate_isolation = CandidateIsolation::Off;
-            }
-            CandidateIsolation::Isolated(_) | CandidateIsolation::Off => {}
+        match self.candidate_isolation.promotion_accepted(index) {
+            IsolationChange::Begins(index) => self.instances[index].isolated = true,
+            IsolationChange::Ends(index) => self.instances[index].isolated = false,
+            IsolationChange::None => {}
         }
+        STATUS_OK
     }
 }
